--- /dev/null
+++ b/lentilcourse/admin.py
@@ -0,0 +1,121 @@
+"""Local HTTP server of each process: metrics, health, and routes of the role.
+
+GET /metrics returns Prometheus' text format, GET /healthz returns 200 while the process
+takes new work. An agent adds the routes on which its target announces itself.
+"""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+import attrs
+import h11
+
+from lentilcourse.errors import LentilcourseError, PoolFullError
+from lentilcourse.http_server import HttpRequest, HttpRequestError, HttpServerConnection
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.metrics import Metrics
+from lentilcourse.options import Address
+from lentilcourse.streams import bind_tcp
+
+MAX_CONNECTIONS: Final = 32
+
+
+@attrs.frozen(kw_only=True)
+class AdminAnswer:
+    """Answer of a route."""
+
+    status: int = 200
+    content_type: str = "application/json"
+    body: bytes = b""
+
+
+AdminRoute: TypeAlias = Callable[[HttpRequest], AdminAnswer]
+
+
+class AdminServer:
+    """Serves the routes that the process has added."""
+
+    def __init__(self, *, address: Address | None, lifecycle: Lifecycle) -> None:
+        self._address = address
+        self._lifecycle = lifecycle
+        self._routes: dict[tuple[bytes, bytes], AdminRoute] = {}
+        self._pool = lifecycle.pool(name="admin", limit=MAX_CONNECTIONS)
+        self.add_route("GET", "/healthz", self._health)
+
+    def add_route(self, method: str, path: str, route: AdminRoute) -> None:
+        """Serve `route` for a method and path."""
+        self._routes[(method.encode(), path.encode())] = route
+
+    def add_metrics(self, metrics: Metrics) -> None:
+        """Serve the metrics of the process."""
+
+        def read(req: HttpRequest) -> AdminAnswer:
+            return AdminAnswer(content_type="text/plain; version=0.0.4", body=metrics.text())
+
+        self.add_route("GET", "/metrics", read)
+
+    def start(self) -> None:
+        """Start accepting connections."""
+        if self._address is None:
+            return
+        listener = bind_tcp(self._address)
+        self._lifecycle.on_close(listener.close)
+        self._pool.submit(lambda: self._accept(listener))
+
+    def _accept(self, listener: socket.socket) -> None:
+        while not self._lifecycle.stopped.is_set():
+            try:
+                sock, _ = listener.accept()
+            except TimeoutError:
+                continue
+            except OSError:
+                return
+            self._serve_in_task(sock)
+
+    def _serve_in_task(self, sock: socket.socket) -> None:
+        try:
+            self._pool.submit(lambda: self._serve(sock))
+        except PoolFullError:
+            sock.close()
+
+    def _serve(self, sock: socket.socket) -> None:
+        conn = HttpServerConnection(sock=sock)
+        try:
+            while conn.wait_for_request(lambda: not self._lifecycle.stopped.is_set()):
+                req = conn.read_request()
+                if req is None:
+                    return
+                self._answer(conn, req)
+                if not conn.reuse():
+                    return
+        except HttpRequestError as exc:
+            _send(conn, AdminAnswer(status=exc.status, body=str(exc).encode()))
+        except (OSError, h11.ProtocolError):
+            return
+        finally:
+            conn.close()
+
+    def _answer(self, conn: HttpServerConnection, req: HttpRequest) -> None:
+        path = req.target.partition(b"?")[0]
+        route = self._routes.get((req.method, path))
+        if route is None:
+            _send(conn, AdminAnswer(status=404, body=b'{"error": "no such route"}'))
+            return
+        try:
+            _send(conn, route(req))
+        except LentilcourseError as exc:
+            _send(conn, AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode()))
+
+    def _health(self, req: HttpRequest) -> AdminAnswer:
+        if self._lifecycle.stopping.is_set():
+            return AdminAnswer(status=503, body=b'{"state": "stopping"}')
+        return AdminAnswer(body=b'{"state": "serving"}')
+
+
+def _send(conn: HttpServerConnection, answer: AdminAnswer) -> None:
+    if conn.can_respond():
+        headers = [(b"content-type", answer.content_type.encode())]
+        conn.respond(answer.status, headers, answer.body)
--- /dev/null
+++ b/lentilcourse/agent/completeness.py
@@ -0,0 +1,83 @@
+"""Whether a home knows every flow of its buckets.
+
+After a bucket has moved here, each other agent of the service must say that it has registered
+its flows at that version or a later one. Until then an unknown flow may be an old one: the
+home probes the agents that have not said so instead of treating the flow as new.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from lentilcourse.agent.flow_view import FlowView
+from lentilcourse.buckets import BUCKETS
+
+PROBE_WAIT_S: Final = 0.4
+LOST_WAIT_S: Final = 5.0
+PROBE_LIFE_S: Final = 5.0
+
+
+class Completeness:
+    """Registrations that have been completed by other agents, and probes under way."""
+
+    def __init__(self) -> None:
+        self._home_since = [0] * BUCKETS
+        self._complete: dict[str, int] = {}
+        self._lost_since: dict[str, float] = {}
+        self._probes: dict[bytes, float] = {}
+
+    def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
+        """Note which buckets have moved here, and which peers are lost."""
+        for bucket in range(BUCKETS):
+            became_home = new.table.home(bucket) == new.name
+            was_home = old.table.home(bucket) == new.name and old.own is not None
+            if became_home and not was_home:
+                self._home_since[bucket] = new.version
+        for name, peer in new.peers.items():
+            if not peer.lost:
+                self._lost_since.pop(name, None)
+            elif name not in self._lost_since:
+                self._lost_since[name] = now
+        for name in self._complete.keys() - new.peers.keys():
+            del self._complete[name]
+
+    def confirm(self, peer: str, version: int) -> None:
+        """Note that a peer has registered all its flows as of `version`."""
+        self._complete[peer] = max(version, self._complete.get(peer, -1))
+
+    def revoke(self, peer: str) -> None:
+        """Forget a peer's confirmation, because its stream has ended."""
+        self._complete.pop(peer, None)
+
+    def unconfirmed(self, view: FlowView, bucket: int, now: float) -> list[str]:
+        """Return the peers that may own flows of a bucket that this home does not know."""
+        since = self._home_since[bucket]
+        return [
+            name
+            for name in view.peers
+            if name not in view.out
+            and self._complete.get(name, -1) < since
+            and not self.presumed_dead(name, now)
+        ]
+
+    def presumed_dead(self, peer: str, now: float) -> bool:
+        """Return whether a peer has been lost for so long that its flows are given up."""
+        lost_since = self._lost_since.get(peer)
+        return lost_since is not None and now - lost_since > LOST_WAIT_S
+
+    def probe_answered_late(self, key: bytes, now: float) -> bool:
+        """Return whether a flow was probed for and nobody owned up in time.
+
+        The first call starts the probe.
+        """
+        started = self._probes.setdefault(key, now)
+        return now - started >= PROBE_WAIT_S
+
+    def end_probe(self, key: bytes) -> None:
+        """Forget a probe."""
+        self._probes.pop(key, None)
+
+    def expire(self, now: float) -> None:
+        """Forget probes that nobody waits for."""
+        for key in [key for key, start in self._probes.items() if now - start > PROBE_LIFE_S]:
+            del self._probes[key]
--- /dev/null
+++ b/lentilcourse/agent/flow_loop.py
@@ -0,0 +1,74 @@
+"""The loop that reads packets and the target's answers: one task, no hand-over."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import time
+from typing import Final
+
+from lentilcourse.agent.flow_plane import FlowPlane
+from lentilcourse.agent.flow_table import Flow
+from lentilcourse.balancer.packet_path import MAX_DATAGRAM_BYTES, SOCKET_BUFFER_BYTES
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.options import Address
+
+POLL_S: Final = 0.1
+TICK_S: Final = 0.5
+DATAGRAMS_PER_TURN: Final = 64
+
+
+class FlowLoop:
+    """Owns the agent's packet socket and watches the channels of all flows."""
+
+    def __init__(self, *, address: Address, lifecycle: Lifecycle) -> None:
+        self._lifecycle = lifecycle
+        self._selector = selectors.EpollSelector()
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+        self._socket.bind(address.pair())
+        self._socket.setblocking(False)
+        self._selector.register(self._socket, selectors.EVENT_READ)
+        self._tick_due = 0.0
+        lifecycle.on_close(self._socket.close)
+
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; a full socket buffer drops it, as a network would."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            return
+
+    def watch(self, flow: Flow) -> None:
+        """Read the answers of a flow from now on."""
+        if flow.channel.fileno() >= 0:
+            self._selector.register(flow.channel.fileno(), selectors.EVENT_READ)
+
+    def unwatch(self, flow: Flow) -> None:
+        """Read no more answers of a flow."""
+        try:
+            self._selector.unregister(flow.channel.fileno())
+        except (KeyError, ValueError):
+            return
+
+    def run(self, plane: FlowPlane) -> None:
+        """Carry packets until the process has stopped."""
+        own = self._socket.fileno()
+        while not self._lifecycle.stopped.is_set():
+            for ready, _ in self._selector.select(timeout=POLL_S):
+                if ready.fd == own:
+                    self._read_datagrams(plane)
+                else:
+                    plane.on_channel_readable(ready.fd, time.monotonic())
+            now = time.monotonic()
+            if now >= self._tick_due:
+                self._tick_due = now + TICK_S
+                plane.on_tick(now)
+
+    def _read_datagrams(self, plane: FlowPlane) -> None:
+        for _ in range(DATAGRAMS_PER_TURN):
+            try:
+                datagram, source = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError:
+                return
+            plane.on_datagram(datagram, source, time.monotonic())
--- /dev/null
+++ b/lentilcourse/agent/idempotency.py
@@ -0,0 +1,98 @@
+"""Records of requests that must not run twice, kept at the home of their key.
+
+A key is recorded before its request is delivered. A second request under the same key waits
+for the first one's answer, or gets the stored one; it never runs. Records of unknown outcome
+stay: the request may have run.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+from xxhash import xxh3_128_digest
+
+from lentilcourse.messages import AnswerChunk, AnswerStart, Refusal, RequestStart
+
+MAX_RECORDS: Final = 100_000
+MAX_STORED_ANSWER_BYTES: Final = 64 * 1024
+
+
+@attrs.define(kw_only=True, eq=False)
+class KeyRecord:
+    """One recorded key.
+
+    Attributes:
+        fingerprint: digest of the request under which the key was first used.
+        ended: set once the outcome is known, or known to be unknown.
+        start: stored start of the answer.
+        body: stored body of the answer.
+        refusal: stored refusal, if the request ended in one.
+    """
+
+    fingerprint: bytes
+    ended: threading.Event = attrs.field(factory=threading.Event)
+    start: AnswerStart | None = None
+    body: bytes | None = None
+    refusal: Refusal | None = None
+
+
+class KeyRecords:
+    """Records by entry and key; the oldest ended ones go first."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._records: OrderedDict[tuple[int, str], KeyRecord] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def claim(self, req: RequestStart) -> tuple[KeyRecord, bool]:
+        """Record a key; the flag says whether this request is the first under it."""
+        with self._lock:
+            place = (req.entry_id, req.idempotency_key)
+            found = self._records.get(place)
+            if found is not None:
+                return found, False
+            record = KeyRecord(fingerprint=fingerprint(req))
+            self._records[place] = record
+            self._evict()
+            return record, True
+
+    def release(self, req: RequestStart, record: KeyRecord) -> None:
+        """Forget a key whose request provably did not run."""
+        with self._lock:
+            place = (req.entry_id, req.idempotency_key)
+            if self._records.get(place) is record:
+                del self._records[place]
+
+    def _evict(self) -> None:
+        while len(self._records) > MAX_RECORDS:
+            self._records.popitem(last=False)
+
+
+def fingerprint(req: RequestStart) -> bytes:
+    """Return the digest by which a reuse of a key for another request is noticed."""
+    return xxh3_128_digest(req.method + b"\0" + req.path + b"\0" + req.body)
+
+
+class AnswerStore:
+    """Collects an answer for a record while it is sent to the caller."""
+
+    def __init__(self, *, record: KeyRecord) -> None:
+        self._record = record
+        self._parts: list[bytes] = []
+        self._size = 0
+
+    def add(self, msg: AnswerStart | AnswerChunk) -> None:
+        """Add a part of the answer; an answer that is too large is not stored."""
+        if isinstance(msg, AnswerStart):
+            self._record.start = msg
+            return
+        self._size += len(msg.data)
+        if self._size <= MAX_STORED_ANSWER_BYTES:
+            self._parts.append(msg.data)
+        if msg.last and self._size <= MAX_STORED_ANSWER_BYTES:
+            self._record.body = b"".join(self._parts)
--- /dev/null
+++ b/lentilcourse/agent/peers.py
@@ -0,0 +1,140 @@
+"""Streams between the agents of one service.
+
+Each agent keeps one outgoing stream to every other agent of its service: a task sends what is
+queued for that peer. After each (re)connect the agent registers all its flows anew, so that a
+lost stream loses no registration. Incoming streams are read by their own tasks.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import Final
+
+from lentilcourse.errors import PoolFullError, StreamError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.model import State, Target
+from lentilcourse.streams import Identity, connect_stream
+
+MAX_PEERS: Final = 256
+MAX_QUEUED: Final = 100_000
+RECONNECT_DELAY_S: Final = 0.1
+QUEUE_POLL_S: Final = 0.1
+
+
+class AgentPeer:
+    """The outgoing side to one other agent."""
+
+    def __init__(self, *, target: Target) -> None:
+        self.target = target
+        self.connected = False
+        self._queue: queue.Queue[object] = queue.Queue(maxsize=MAX_QUEUED)
+        self._ended = threading.Event()
+
+    def send(self, msg: object) -> None:
+        """Queue a message; without a stream it is dropped, a reconnect registers anew."""
+        if not self.connected:
+            return
+        try:
+            self._queue.put_nowait(msg)
+        except queue.Full:
+            self.connected = False
+
+    def end(self) -> None:
+        """Stop the task of this peer."""
+        self._ended.set()
+
+    def run(
+        self,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        greet: Callable[[AgentPeer, float], None],
+    ) -> None:
+        """Keep a stream to the peer until it ends or the process has stopped."""
+        while not self._ended.is_set() and not lifecycle.stopped.is_set():
+            with contextlib.suppress(StreamError):
+                self._serve(identity, lifecycle, greet)
+            self.connected = False
+            self._ended.wait(timeout=RECONNECT_DELAY_S)
+
+    def _serve(
+        self,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        greet: Callable[[AgentPeer, float], None],
+    ) -> None:
+        stream = connect_stream(self.target.stream_address, identity)
+        try:
+            self._queue = queue.Queue(maxsize=MAX_QUEUED)
+            self.connected = True
+            greet(self, time.monotonic())
+            while self.connected and not stream.closed:
+                if self._ended.is_set() or lifecycle.stopped.is_set():
+                    return
+                try:
+                    stream.send(self._queue.get(timeout=QUEUE_POLL_S))
+                except queue.Empty:
+                    continue
+        finally:
+            stream.close()
+
+
+class AgentPeers:
+    """The outgoing streams to all agents of the own service."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        identity: Identity,
+        lifecycle: Lifecycle,
+        greet: Callable[[AgentPeer, float], None],
+    ) -> None:
+        self._name = name
+        self._identity = identity
+        self._lifecycle = lifecycle
+        self._greet = greet
+        self._lock = threading.Lock()
+        self._peers: dict[str, AgentPeer] = {}
+        self._pool = lifecycle.pool(name="agent-peer", limit=MAX_PEERS)
+
+    def on_state(self, state: State, service: str) -> None:
+        """Start and end streams as the service's membership changes."""
+        wanted = {
+            target.name: target
+            for target in state.service_targets(service)
+            if target.name != self._name
+        }
+        with self._lock:
+            for name, peer in list(self._peers.items()):
+                current = wanted.get(name)
+                if current is None or current.stream_address != peer.target.stream_address:
+                    peer.end()
+                    del self._peers[name]
+            for name, target in wanted.items():
+                if name not in self._peers:
+                    self._start(target)
+
+    def send(self, name: str, msg: object) -> None:
+        """Queue a message for one peer."""
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.send(msg)
+
+    def broadcast(self, msg: object) -> None:
+        """Queue a message for every peer."""
+        with self._lock:
+            peers = list(self._peers.values())
+        for peer in peers:
+            peer.send(msg)
+
+    def _start(self, target: Target) -> None:
+        peer = AgentPeer(target=target)
+        try:
+            self._pool.submit(lambda: peer.run(self._identity, self._lifecycle, self._greet))
+        except PoolFullError:
+            return
+        self._peers[target.name] = peer
--- /dev/null
+++ b/lentilcourse/agent/request_plane.py
@@ -0,0 +1,402 @@
+"""Requests at the agent: admission, at most one run under a key, delivery, answer.
+
+Each request runs in its own task. It is refused with "ran: no" only before its first byte is
+sent to the target, or when the target itself says that it shed the request.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Final
+
+import attrs
+
+from lentilcourse.agent.admission import cold_limit
+from lentilcourse.agent.idempotency import AnswerStore, KeyRecord, KeyRecords, fingerprint
+from lentilcourse.agent.slots import SlotQueue
+from lentilcourse.agent.target import TargetHealth, TargetMonitor
+from lentilcourse.agent.target_client import (
+    DeadlineError,
+    NotDeliveredError,
+    TargetExchange,
+)
+from lentilcourse.buckets import bucket_of, build_table
+from lentilcourse.errors import PoolFullError, StreamError, TargetFailedError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.messages import (
+    AnswerChunk,
+    AnswerCut,
+    AnswerRefused,
+    AnswerStart,
+    LoadEvidence,
+    Refusal,
+    RequestCancel,
+    RequestCredit,
+    RequestStart,
+)
+from lentilcourse.model import CLASS_RANK, Entry, State, TargetState
+from lentilcourse.refusals import (
+    RAN_NO,
+    RAN_UNKNOWN,
+    Cause,
+    RefusalCounts,
+    owner_refusal,
+    system_refusal,
+)
+from lentilcourse.streams import Stream
+from lentilcourse.subscription import StateCopy
+
+MAX_REQUEST_TASKS: Final = 256
+CREDIT_CHUNKS: Final = 16
+CREDIT_WAIT_S: Final = 30.0
+STORED_WAIT_S: Final = 30.0
+DRAIN_TIMEOUT_S: Final = 30.0
+ANSWER_SMOOTHING: Final = 0.2
+MS_PER_S: Final = 1000.0
+
+
+@attrs.define(kw_only=True)
+class AgentRequestCounts:
+    """What the request plane has done since its start."""
+
+    received: int = 0
+    delivered: int = 0
+    answered: int = 0
+    cut: int = 0
+    replayed: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Job:
+    """One request under way.
+
+    Attributes:
+        req: the request.
+        entry: its entry.
+        stream: where the answer goes.
+        deadline: monotonic time; infinite for none.
+        cancelled: set when the caller no longer waits.
+        credit: chunks that may be sent.
+        exchange: the exchange with the target, once there is one.
+        store: where a keyed answer is kept.
+    """
+
+    req: RequestStart
+    entry: Entry
+    stream: Stream
+    deadline: float
+    cancelled: threading.Event = attrs.field(factory=threading.Event)
+    credit: threading.Semaphore = attrs.field(factory=lambda: threading.Semaphore(CREDIT_CHUNKS))
+    exchange: TargetExchange | None = None
+    store: AnswerStore | None = None
+
+    def refuse(self, cause: Cause, ran: str) -> Refusal:
+        """Return a refusal of this request by the system."""
+        return system_refusal(cause, ran, self.entry.name)
+
+
+class RequestPlane:
+    """All requests of one agent."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        copy: StateCopy,
+        monitor: TargetMonitor,
+        lifecycle: Lifecycle,
+        refusals: RefusalCounts,
+    ) -> None:
+        self.counts = AgentRequestCounts()
+        self.slots = SlotQueue(limit=1)
+        self.records = KeyRecords()
+        self.answer_ms = 0.0
+        self._name = name
+        self._copy = copy
+        self._monitor = monitor
+        self._lifecycle = lifecycle
+        self._refusals = refusals
+        self._pool = lifecycle.pool(name="request", limit=MAX_REQUEST_TASKS)
+        self._cold_since = float("-inf")
+        self._incarnation = ""
+        self._entry_running: dict[int, int] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that run or wait."""
+        return self.slots.in_use + self.slots.waiting
+
+    def serve(self, stream: Stream, first: object) -> None:
+        """Serve one balancer's stream until it ends."""
+        jobs: dict[str, Job] = {}
+        msg: object = first
+        try:
+            while True:
+                self._take(msg, stream, jobs)
+                msg = stream.receive()
+        finally:
+            for job in list(jobs.values()):
+                self._cancel(job)
+
+    def drain(self) -> None:
+        """Wait until every request has its answer."""
+        deadline = time.monotonic() + DRAIN_TIMEOUT_S
+        while self._pool.running and time.monotonic() < deadline:
+            time.sleep(0.02)
+
+    def on_tick(self, now: float) -> None:
+        """Follow the target's cold start."""
+        last = self._monitor.last
+        if last is None:
+            return
+        if last.incarnation != self._incarnation:
+            self._incarnation = last.incarnation
+            self._cold_since = now
+        self.slots.set_limit(cold_limit(last.slots, self._cold_since, now))
+
+    def on_state(self, old: State, new: State, now: float) -> None:
+        """Start cold again when the failure domain comes back."""
+        own = new.targets.get(self._name)
+        if own and old.domain_out(own.domain) and not new.domain_out(own.domain):
+            self._cold_since = now
+
+    def _take(self, msg: object, stream: Stream, jobs: dict[str, Job]) -> None:
+        if isinstance(msg, RequestStart):
+            self._start(msg, stream, jobs)
+            return
+        if not isinstance(msg, (RequestCancel, RequestCredit)):
+            return
+        job = jobs.get(msg.request_id)
+        if job is None:
+            return
+        if isinstance(msg, RequestCancel):
+            self._cancel(job)
+            return
+        for _ in range(min(msg.chunks, CREDIT_CHUNKS)):
+            job.credit.release()
+
+    def _cancel(self, job: Job) -> None:
+        job.cancelled.set()
+        exchange = job.exchange
+        if exchange is not None and not job.req.idempotency_key:
+            exchange.close()
+
+    def _start(self, req: RequestStart, stream: Stream, jobs: dict[str, Job]) -> None:
+        self.counts.received += 1
+        now = time.monotonic()
+        entry = find_entry(self._copy.current, self._name, req.entry_id)
+        if entry is None:
+            self._send_refusal(
+                stream, req, system_refusal(Cause.UNKNOWN_ENTRY, RAN_NO, str(req.entry_id))
+            )
+            return
+        deadline = now + req.timeout_ms / MS_PER_S if req.timeout_ms else float("inf")
+        job = Job(req=req, entry=entry, stream=stream, deadline=deadline)
+        jobs[req.request_id] = job
+
+        def run() -> None:
+            try:
+                self._run(job)
+            finally:
+                jobs.pop(req.request_id, None)
+
+        try:
+            self._pool.submit(run)
+        except PoolFullError:
+            jobs.pop(req.request_id, None)
+            self._send_refusal(stream, req, job.refuse(Cause.TARGET_FULL, RAN_NO))
+
+    def _run(self, job: Job) -> None:
+        refusal = self._run_keyed(job) if job.req.idempotency_key else self._run_admitted(job)
+        if refusal is not None:
+            self._send_refusal(job.stream, job.req, refusal)
+        self._send(job.stream, self.evidence())
+
+    def _run_keyed(self, job: Job) -> Refusal | None:
+        if not self._is_key_home(job.req.idempotency_key):
+            return job.refuse(Cause.NOT_HOME, RAN_NO)
+        record, first = self.records.claim(job.req)
+        if not first:
+            return self._replay(job, record)
+        job.store = AnswerStore(record=record)
+        refusal = self._run_admitted(job)
+        if refusal is not None and refusal.ran == RAN_NO:
+            self.records.release(job.req, record)
+        record.refusal = refusal
+        record.ended.set()
+        return refusal
+
+    def _is_key_home(self, key: str) -> bool:
+        state = self._copy.current
+        own = state.targets.get(self._name)
+        if own is None:
+            return False
+        return build_table(state, own.service).home(bucket_of(key.encode())) == self._name
+
+    def _replay(self, job: Job, record: KeyRecord) -> Refusal | None:
+        if record.fingerprint != fingerprint(job.req):
+            return job.refuse(Cause.KEY_REUSED, RAN_NO)
+        wait_s = min(STORED_WAIT_S, job.deadline - time.monotonic())
+        if not record.ended.wait(timeout=max(0.0, wait_s)):
+            return job.refuse(Cause.DEADLINE, RAN_UNKNOWN)
+        if record.refusal is not None:
+            return attrs.evolve(record.refusal, ran=record.refusal.ran)
+        if record.start is None or record.body is None:
+            return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
+        self.counts.replayed += 1
+        request_id = job.req.request_id
+        self._send(job.stream, attrs.evolve(record.start, request_id=request_id))
+        self._send(job.stream, AnswerChunk(request_id=request_id, data=record.body, last=True))
+        return None
+
+    def _run_admitted(self, job: Job) -> Refusal | None:
+        refusal = self._admit(job)
+        if refusal is not None:
+            return refusal
+        if not self._enter_entry(job.entry):
+            limit = job.entry.limits.requests_in_flight
+            return owner_refusal(job.entry, "requests_in_flight", limit)
+        try:
+            cause = self.slots.acquire(
+                CLASS_RANK[job.entry.traffic_class], job.deadline, job.cancelled.is_set
+            )
+            if cause is not None:
+                return job.refuse(cause, RAN_NO)
+            try:
+                return self._deliver(job)
+            finally:
+                self.slots.release()
+        finally:
+            self._leave_entry(job.entry)
+
+    def _admit(self, job: Job) -> Refusal | None:
+        state = self._copy.current
+        own = state.targets.get(self._name)
+        if own is None or self._monitor.health in (TargetHealth.GONE, TargetHealth.SILENT):
+            return job.refuse(Cause.TARGET_GONE, RAN_NO)
+        if state.domain_out(own.domain):
+            return job.refuse(Cause.DOMAIN_OUT, RAN_NO)
+        if own.state is TargetState.DRAINING or self._monitor.health is TargetHealth.DRAINING:
+            return job.refuse(Cause.TARGET_DRAINING, RAN_NO)
+        if self._lifecycle.stopping.is_set():
+            return job.refuse(Cause.STOPPING, RAN_NO)
+        return None
+
+    def _enter_entry(self, entry: Entry) -> bool:
+        limit = entry.limits.requests_in_flight
+        with self._lock:
+            running = self._entry_running.get(entry.entry_id, 0)
+            if limit and running >= self._static_share(limit):
+                return False
+            self._entry_running[entry.entry_id] = running + 1
+            return True
+
+    def _static_share(self, limit: int) -> int:
+        state = self._copy.current
+        own = state.targets.get(self._name)
+        peers = len(state.service_targets(own.service)) if own else 1
+        return limit // max(1, peers)
+
+    def _leave_entry(self, entry: Entry) -> None:
+        with self._lock:
+            self._entry_running[entry.entry_id] -= 1
+
+    def _deliver(self, job: Job) -> Refusal | None:
+        address = self._monitor.request_address()
+        now = time.monotonic()
+        if address is None:
+            return job.refuse(Cause.TARGET_GONE, RAN_NO)
+        if now >= job.deadline:
+            return job.refuse(Cause.DEADLINE, RAN_NO)
+        exchange = TargetExchange(address=address, deadline=job.deadline)
+        try:
+            exchange.connect(now)
+            if job.cancelled.is_set():
+                return job.refuse(Cause.CANCELLED, RAN_NO)
+            job.exchange = exchange
+            return self._exchange(job, exchange)
+        except NotDeliveredError:
+            return job.refuse(Cause.TARGET_GONE, RAN_NO)
+        finally:
+            exchange.close()
+
+    def _exchange(self, job: Job, exchange: TargetExchange) -> Refusal | None:
+        started = time.monotonic()
+        self.counts.delivered += 1
+        try:
+            exchange.send(job.req, started)
+            head = exchange.read_head()
+        except DeadlineError:
+            return job.refuse(Cause.DEADLINE, RAN_UNKNOWN)
+        except TargetFailedError:
+            return job.refuse(Cause.TARGET_FAILED, RAN_UNKNOWN)
+        if head.shed():
+            return job.refuse(Cause.TARGET_SHED, RAN_NO)
+        self._answer(
+            job,
+            AnswerStart(request_id=job.req.request_id, status=head.status, headers=head.headers),
+        )
+        self._relay_body(job, exchange)
+        self._learn(time.monotonic() - started)
+        return None
+
+    def _relay_body(self, job: Job, exchange: TargetExchange) -> None:
+        request_id = job.req.request_id
+        try:
+            for part in exchange.read_body():
+                self._await_credit(job)
+                self._answer(job, AnswerChunk(request_id=request_id, data=part, last=False))
+        except TargetFailedError as exc:
+            self.counts.cut += 1
+            self._send(job.stream, AnswerCut(request_id=request_id, cause=str(exc)))
+            return
+        self.counts.answered += 1
+        self._answer(job, AnswerChunk(request_id=request_id, data=b"", last=True))
+
+    def _await_credit(self, job: Job) -> None:
+        deadline = time.monotonic() + CREDIT_WAIT_S
+        while not job.credit.acquire(timeout=0.1):
+            if job.store is not None and (job.cancelled.is_set() or job.stream.closed):
+                return
+            if job.cancelled.is_set() or time.monotonic() > deadline:
+                raise TargetFailedError("the caller takes no more of the answer")
+
+    def _answer(self, job: Job, msg: AnswerStart | AnswerChunk) -> None:
+        if job.store is not None:
+            job.store.add(msg)
+        self._send(job.stream, msg)
+
+    def _learn(self, seconds: float) -> None:
+        sample = seconds * MS_PER_S
+        if self.answer_ms == 0.0:
+            self.answer_ms = sample
+        self.answer_ms += ANSWER_SMOOTHING * (sample - self.answer_ms)
+
+    def evidence(self) -> LoadEvidence:
+        """Return what was measured of the target, for balancers."""
+        return LoadEvidence(
+            in_flight=self.in_flight, capacity=self.slots.limit, answer_ms=self.answer_ms
+        )
+
+    def _send_refusal(self, stream: Stream, req: RequestStart, refusal: Refusal) -> None:
+        self._refusals.add(refusal)
+        self._send(stream, AnswerRefused(request_id=req.request_id, refusal=refusal))
+
+    def _send(self, stream: Stream, msg: object) -> None:
+        try:
+            stream.send(msg)
+        except StreamError:
+            return
+
+
+def find_entry(state: State, target_name: str, entry_id: int) -> Entry | None:
+    """Return an entry if it is served by the target's service, by entry id."""
+    own = state.targets.get(target_name)
+    if own is None:
+        return None
+    for entry in state.entries.values():
+        if entry.entry_id == entry_id and entry.service == own.service:
+            return entry
+    return None
--- /dev/null
+++ b/lentilcourse/agent/role.py
@@ -0,0 +1,165 @@
+"""Assembles the role agent."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+from lentilcourse.agent.delivery import DELIVERY_PLUGINS
+from lentilcourse.agent.flow_loop import TICK_S, FlowLoop
+from lentilcourse.agent.flow_plane import FlowPlane
+from lentilcourse.agent.peers import AgentPeers
+from lentilcourse.agent.request_plane import MAX_REQUEST_TASKS, RequestPlane
+from lentilcourse.agent.target import TargetMonitor
+from lentilcourse.messages import (
+    FlowLoad,
+    ForgetFlows,
+    RecoveredFlows,
+    RecoverFlows,
+    RegisterFlows,
+    RegistrationComplete,
+    Report,
+)
+from lentilcourse.metrics import Metrics
+from lentilcourse.model import State
+from lentilcourse.refusals import RefusalCounts
+from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, Stream, StreamListener
+from lentilcourse.subscription import StateCopy, Subscription
+
+PEER_MESSAGES: Final = (
+    RegisterFlows,
+    ForgetFlows,
+    RegistrationComplete,
+    FlowLoad,
+    RecoverFlows,
+    RecoveredFlows,
+)
+
+
+class Agent:
+    """One agent process."""
+
+    def __init__(self, *, context: ProcessContext) -> None:
+        settings, lifecycle = context.settings, context.lifecycle
+        cfg = settings.agent
+        assert cfg is not None
+        self.name = settings.process.name
+        self.settings = settings
+        self.lifecycle = lifecycle
+        self.copy = StateCopy()
+        self.refusals = RefusalCounts()
+        identity = Identity(name=self.name, kind=KIND_PROCESS, key=settings.cluster_key)
+        self.monitor = TargetMonitor(
+            name=self.name, domain=settings.process.domain, cfg=cfg, lifecycle=lifecycle
+        )
+        self.loop = FlowLoop(address=cfg.data_address, lifecycle=lifecycle)
+        self.flows = FlowPlane(
+            name=self.name,
+            monitor=self.monitor,
+            open_channel=DELIVERY_PLUGINS.get(cfg.delivery),
+            send=self.loop.send,
+            watch=self.loop.watch,
+            unwatch=self.loop.unwatch,
+            fabric=cfg.fabric_address.pair(),
+            idle_s=cfg.flow_idle_s,
+            refusals=self.refusals,
+            rng=random.Random(),
+        )
+        self.flows.peers = AgentPeers(
+            name=self.name, identity=identity, lifecycle=lifecycle, greet=self.flows.greet
+        )
+        self.requests = RequestPlane(
+            name=self.name,
+            copy=self.copy,
+            monitor=self.monitor,
+            lifecycle=lifecycle,
+            refusals=self.refusals,
+        )
+        self.listener = StreamListener(
+            name=self.name,
+            address=cfg.stream_address,
+            keys=KeyRing(cluster_key=settings.cluster_key),
+            pool=lifecycle.pool(name="agent-stream", limit=MAX_REQUEST_TASKS),
+            lifecycle=lifecycle,
+            serve=self._serve,
+        )
+        self.subscription = Subscription(
+            controllers=settings.controllers,
+            identity=identity,
+            copy=self.copy,
+            lifecycle=lifecycle,
+            report=self._report,
+            announce=self.monitor.announcement,
+        )
+        self._former = State()
+        self.copy.listen(self._on_state)
+        self.monitor.add_routes(context.admin)
+        lifecycle.on_drain(self._stop_taking)
+        lifecycle.on_drain(self.requests.drain)
+
+    def start(self) -> None:
+        """Start all tasks."""
+        tasks = self.lifecycle.pool(name="agent", limit=4)
+        tasks.submit(lambda: self.loop.run(self.flows))
+        tasks.submit(self.listener.run)
+        tasks.submit(self.monitor.run)
+        tasks.submit(self._run_ticks)
+        self.subscription.start()
+
+    def _serve(self, stream: Stream) -> None:
+        first = stream.receive()
+        if not isinstance(first, PEER_MESSAGES):
+            self.requests.serve(stream, first)
+            return
+        try:
+            self.flows.on_message(first, stream.peer, time.monotonic())
+            while not self.lifecycle.stopped.is_set():
+                self.flows.on_message(stream.receive(), stream.peer, time.monotonic())
+        finally:
+            self.flows.on_peer_lost(stream.peer)
+
+    def _on_state(self, state: State, now: float) -> None:
+        self.flows.on_state(state, now)
+        self.requests.on_state(self._former, state, now)
+        self._former = state
+
+    def _run_ticks(self) -> None:
+        while not self.lifecycle.stopped.wait(timeout=TICK_S / 2):
+            self.requests.on_tick(time.monotonic())
+
+    def _stop_taking(self) -> None:
+        self.flows.stopping = True
+
+    def _report(self) -> Report:
+        return Report(
+            name=self.name,
+            role=self.settings.process.role,
+            domain=self.settings.process.domain,
+            version=self.copy.current.version,
+            flows=len(self.flows.flows),
+            requests=self.requests.in_flight,
+            refusals=self.refusals.read(),
+        )
+
+
+@ROLE_PLUGINS.register("agent")
+def start_agent(context: ProcessContext) -> None:
+    """Start the role agent."""
+    agent = Agent(context=context)
+    _add_metrics(context.metrics, agent)
+    agent.start()
+
+
+def _add_metrics(metrics: Metrics, agent: Agent) -> None:
+    flows, requests = agent.flows, agent.requests
+    metrics.counters_of("lentilcourse.flow", flows.counts)
+    metrics.counters_of("lentilcourse.request", requests.counts)
+    metrics.gauge("lentilcourse.flows.open", lambda: len(flows.flows))
+    metrics.gauge("lentilcourse.flows.directory", lambda: len(flows.directory))
+    metrics.gauge("lentilcourse.requests.in_flight", lambda: requests.in_flight)
+    metrics.gauge("lentilcourse.requests.slots", lambda: requests.slots.limit)
+    metrics.gauge("lentilcourse.requests.answer_ms", lambda: requests.answer_ms)
+    metrics.gauge("lentilcourse.state.version", lambda: agent.copy.current.version)
+    metrics.labelled_counter("lentilcourse.refusals", "refusal", agent.refusals.read)
--- /dev/null
+++ b/lentilcourse/agent/target.py
@@ -0,0 +1,188 @@
+"""The target beside the agent, as it announces itself.
+
+The target posts JSON to the agent's admin address at least every second. The agent judges it
+by these announcements: SERVING, DRAINING, SILENT (announcements stopped; the target may be
+frozen, its flows are kept) or GONE (it left, or its announcements stopped and its address
+refuses connections).
+"""
+
+from __future__ import annotations
+
+import enum
+import json
+import socket
+import threading
+import time
+from typing import Final
+
+import attrs
+import cattrs
+
+from lentilcourse.admin import AdminAnswer, AdminServer
+from lentilcourse.errors import LentilcourseError
+from lentilcourse.http_server import HttpRequest
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
+from lentilcourse.messages import Announcement
+from lentilcourse.options import Address, AgentSettings, parse_address, parse_name
+
+ANNOUNCEMENT_LIFE_S: Final = 1.5
+CHECK_INTERVAL_S: Final = 0.2
+PROBE_TIMEOUT_S: Final = 0.3
+
+_log = get_logger(__name__)
+
+
+class TargetHealth(enum.Enum):
+    """What the agent knows of the target."""
+
+    UNKNOWN = "unknown"
+    SERVING = "serving"
+    DRAINING = "draining"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class InvalidAnnouncementError(LentilcourseError):
+    """A target's announcement cannot be read."""
+
+
+@attrs.frozen(kw_only=True)
+class TargetAnnouncement:
+    """What a target posts to /announce.
+
+    Attributes:
+        service: service that it offers.
+        incarnation: identity of its run; new after each restart.
+        slots: requests that it runs at once.
+        connections: flows that it holds at most.
+        udp_address: where it takes flows, IP:PORT; empty for none.
+        http_address: where it takes requests, IP:PORT; empty for none.
+        state: "serving", "draining" or "leaving".
+        utilisation: load that it reports, 0 to 1; a hint only.
+    """
+
+    service: str
+    incarnation: str
+    slots: int
+    connections: int
+    udp_address: str = ""
+    http_address: str = ""
+    state: str = "serving"
+    utilisation: float = 0.0
+
+
+def read_announcement(body: bytes) -> TargetAnnouncement:
+    """Read and check an announcement; raises `InvalidAnnouncementError`."""
+    try:
+        announcement = cattrs.structure(json.loads(body), TargetAnnouncement)
+        parse_name(announcement.service)
+        for text in (announcement.udp_address, announcement.http_address):
+            if text:
+                parse_address(text)
+    except Exception as exc:
+        raise InvalidAnnouncementError(f"announcement: {exc}") from exc
+    if announcement.state not in ("serving", "draining", "leaving"):
+        raise InvalidAnnouncementError(f"state: {announcement.state!r}")
+    if announcement.slots < 1 or announcement.connections < 1:
+        raise InvalidAnnouncementError("slots and connections must be at least 1")
+    return announcement
+
+
+class TargetMonitor:
+    """Follows the announcements of the target."""
+
+    def __init__(self, *, name: str, domain: str, cfg: AgentSettings, lifecycle: Lifecycle) -> None:
+        self._name = name
+        self._domain = domain
+        self._cfg = cfg
+        self._lifecycle = lifecycle
+        self._lock = threading.Lock()
+        self._last: TargetAnnouncement | None = None
+        self._received = float("-inf")
+        self._health = TargetHealth.UNKNOWN
+
+    @property
+    def last(self) -> TargetAnnouncement | None:
+        """The last announcement."""
+        return self._last
+
+    @property
+    def health(self) -> TargetHealth:
+        """What the agent knows of the target."""
+        return self._health
+
+    def add_routes(self, admin: AdminServer) -> None:
+        """Serve the announcement route."""
+        admin.add_route("POST", "/announce", self._take)
+
+    def announcement(self) -> Announcement | None:
+        """Return what the agent announces to the controllers, None while it must not."""
+        last = self._last
+        if last is None or self._health is TargetHealth.SILENT:
+            return None
+        return Announcement(
+            service=last.service,
+            domain=self._domain,
+            incarnation=last.incarnation,
+            draining=self._health is TargetHealth.DRAINING,
+            leaving=self._health is TargetHealth.GONE,
+            data_address=str(self._cfg.data_address),
+            stream_address=str(self._cfg.stream_address),
+            slots=last.slots,
+            connections=last.connections,
+        )
+
+    def run(self) -> None:
+        """Judge the target until the process has stopped."""
+        while not self._lifecycle.stopped.wait(timeout=CHECK_INTERVAL_S):
+            if time.monotonic() - self._received > ANNOUNCEMENT_LIFE_S:
+                self._judge_silence()
+
+    def flow_address(self) -> Address | None:
+        """Return where the target takes flows."""
+        last = self._last
+        return parse_address(last.udp_address) if last and last.udp_address else None
+
+    def request_address(self) -> Address | None:
+        """Return where the target takes requests."""
+        last = self._last
+        return parse_address(last.http_address) if last and last.http_address else None
+
+    def _take(self, req: HttpRequest) -> AdminAnswer:
+        announcement = read_announcement(req.body)
+        with self._lock:
+            self._last = announcement
+            self._received = time.monotonic()
+        self._set_health(_health_of(announcement))
+        return AdminAnswer(body=b"{}")
+
+    def _judge_silence(self) -> None:
+        address = self.request_address()
+        if self._last is None or self._health is TargetHealth.GONE:
+            return
+        gone = address is not None and _refuses_connections(address)
+        self._set_health(TargetHealth.GONE if gone else TargetHealth.SILENT)
+
+    def _set_health(self, health: TargetHealth) -> None:
+        if health is not self._health:
+            _log.info("target_health", before=self._health.value, after=health.value)
+            self._health = health
+
+
+def _health_of(announcement: TargetAnnouncement) -> TargetHealth:
+    if announcement.state == "leaving":
+        return TargetHealth.GONE
+    if announcement.state == "draining":
+        return TargetHealth.DRAINING
+    return TargetHealth.SERVING
+
+
+def _refuses_connections(address: Address) -> bool:
+    try:
+        socket.create_connection(address.pair(), timeout=PROBE_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/lentilcourse/changes.py
@@ -0,0 +1,376 @@
+"""Changes of the replicated state, and the rule by which each is accepted or refused.
+
+A `Change` travels through the replicated log; every replica applies the same changes in the
+same order with `decide_change`, which is deterministic: it reads only the state and the
+change. An action is refused whole, with the field named, or applied whole.
+"""
+
+from __future__ import annotations
+
+import enum
+from functools import singledispatch
+from typing import Final, TypeAlias
+
+import attrs
+
+from lentilcourse import error_texts
+from lentilcourse.errors import ChangeRefusedError, InvalidChangeError, VersionConflictError
+from lentilcourse.model import (
+    Domain,
+    DomainState,
+    Entry,
+    Limits,
+    Protocol,
+    State,
+    StateDelta,
+    Target,
+    TargetState,
+    TrafficClass,
+)
+from lentilcourse.options import Address, parse_address, parse_name
+
+MAX_LIMIT: Final = 100_000_000
+MAX_SLOTS: Final = 100_000
+MAX_CONNECTIONS: Final = 10_000_000
+ANY_VERSION: Final = -1
+SYSTEM_OPERATOR: Final = "system"
+
+
+@attrs.frozen(kw_only=True)
+class PutEntry:
+    """Create an entry (edit version 0) or replace its fields."""
+
+    name: str
+    service: str
+    owner: str
+    traffic_class: str
+    protocol: str
+    address: str
+    open_flows: int = 0
+    new_flows_per_s: int = 0
+    requests_in_flight: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class DeleteEntry:
+    """Delete an entry."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class SetDomain:
+    """Take a failure domain out of service ("out") or bring it back ("in")."""
+
+    name: str
+    state: str
+
+
+@attrs.frozen(kw_only=True)
+class DrainTarget:
+    """Stop new work on a target."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class JoinTarget:
+    """Enter a target that announced itself, or renew one whose incarnation changed."""
+
+    name: str
+    service: str
+    domain: str
+    incarnation: str
+    draining: bool
+    data_address: str
+    stream_address: str
+    slots: int
+    connections: int
+
+
+@attrs.frozen(kw_only=True)
+class LoseTarget:
+    """Mark a target whose lease has expired; applies to the given incarnation only."""
+
+    name: str
+    incarnation: str
+
+
+@attrs.frozen(kw_only=True)
+class RemoveTarget:
+    """Forget a target that left or stayed lost; applies to the given incarnation only."""
+
+    name: str
+    incarnation: str
+
+
+Action: TypeAlias = (
+    PutEntry | DeleteEntry | SetDomain | DrainTarget | JoinTarget | LoseTarget | RemoveTarget
+)
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """One change as it stands in the log.
+
+    Attributes:
+        change_id: identity chosen by the sender; a resend carries the same one.
+        operator: who asked, as proved by a key; "system" for membership.
+        source: address that the change came from.
+        at_ms: wall-clock time of acceptance into the log, in ms since 1970.
+        edit_version: version of the record that the operator edited, 0 to create,
+            `ANY_VERSION` for system changes.
+        action: what to change.
+    """
+
+    change_id: str
+    operator: str
+    source: str
+    at_ms: int
+    edit_version: int
+    action: Action
+
+
+class Verdict(enum.Enum):
+    """How a change ended."""
+
+    ACCEPTED = "accepted"
+    CONFLICT = "conflict"
+    INVALID = "invalid"
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Outcome of a change.
+
+    Attributes:
+        change_id: the change.
+        verdict: how it ended.
+        version: state version after it (accepted), or record version in force (conflict).
+        field: field that was refused, if one was.
+        reason: why it was refused.
+    """
+
+    change_id: str
+    verdict: Verdict
+    version: int
+    field: str = ""
+    reason: str = ""
+
+
+def decide_change(state: State, change: Change) -> tuple[Outcome, StateDelta | None]:
+    """Return the outcome of `change` against `state`, and the delta if it is accepted."""
+    try:
+        delta = build_delta(change.action, state, change.edit_version)
+    except VersionConflictError as exc:
+        outcome = Outcome(
+            change_id=change.change_id,
+            verdict=Verdict.CONFLICT,
+            version=exc.current_version,
+            reason=str(exc),
+        )
+        return outcome, None
+    except InvalidChangeError as exc:
+        outcome = Outcome(
+            change_id=change.change_id,
+            verdict=Verdict.INVALID,
+            version=state.version,
+            field=exc.field,
+            reason=exc.reason,
+        )
+        return outcome, None
+    accepted = Outcome(change_id=change.change_id, verdict=Verdict.ACCEPTED, version=delta.version)
+    return accepted, delta
+
+
+def summarize(action: Action) -> str:
+    """Return one line that says what an action changes."""
+    fields = attrs.asdict(action)
+    words = " ".join(f"{key}={value}" for key, value in fields.items() if value not in ("", 0))
+    return f"{type(action).__name__} {words}"
+
+
+def subject(action: Action) -> str:
+    """Return the name of the record that an action changes."""
+    return action.name
+
+
+@singledispatch
+def build_delta(action: object, state: State, edit_version: int) -> StateDelta:
+    """Return the delta of an action; raises `ChangeRefusedError` and applies nothing."""
+    raise ChangeRefusedError(error_texts.MESSAGE_UNEXPECTED.format(name=type(action).__name__))
+
+
+@build_delta.register
+def _put_entry(action: PutEntry, state: State, edit_version: int) -> StateDelta:
+    current = state.entries.get(action.name)
+    _check_entry_version(action, current, edit_version)
+    version = state.version + 1
+    entry = Entry(
+        name=_checked_name("name", action.name),
+        entry_id=current.entry_id if current else version,
+        version=version,
+        service=_checked_name("service", action.service),
+        owner=_checked_name("owner", action.owner),
+        traffic_class=TrafficClass(_checked_choice("class", action.traffic_class, TrafficClass)),
+        protocol=Protocol(_checked_choice("protocol", action.protocol, Protocol)),
+        address=_checked_address("address", action.address),
+        limits=_checked_limits(action),
+    )
+    _refuse_taken_address(entry, state)
+    return StateDelta(version=version, entries=(entry,))
+
+
+@build_delta.register
+def _delete_entry(action: DeleteEntry, state: State, edit_version: int) -> StateDelta:
+    current = state.entries.get(action.name)
+    if current is None:
+        raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=action.name))
+    _check_version(current.version, edit_version)
+    return StateDelta(version=state.version + 1, removed_entries=(action.name,))
+
+
+@build_delta.register
+def _set_domain(action: SetDomain, state: State, edit_version: int) -> StateDelta:
+    name = _checked_name("name", action.name)
+    wanted = DomainState(_checked_choice("state", action.state, DomainState))
+    current = state.domains.get(name)
+    known = any(target.domain == name for target in state.targets.values())
+    if current is None and not known:
+        raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=name))
+    _check_version(current.version if current else 0, edit_version)
+    now_in = current.state if current else DomainState.IN
+    if now_in is wanted:
+        text = error_texts.DOMAIN_UNCHANGED.format(name=name, state=wanted.value)
+        raise InvalidChangeError("state", text)
+    version = state.version + 1
+    return StateDelta(version=version, domains=(Domain(name=name, version=version, state=wanted),))
+
+
+@build_delta.register
+def _drain_target(action: DrainTarget, state: State, edit_version: int) -> StateDelta:
+    current = state.targets.get(action.name)
+    if current is None:
+        raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=action.name))
+    _check_version(current.version, edit_version)
+    if current.state is TargetState.DRAINING:
+        text = error_texts.TARGET_UNCHANGED.format(name=action.name, state="draining")
+        raise InvalidChangeError("state", text)
+    return _target_delta(state, attrs.evolve(current, state=TargetState.DRAINING))
+
+
+@build_delta.register
+def _join_target(action: JoinTarget, state: State, edit_version: int) -> StateDelta:
+    current = state.targets.get(action.name)
+    same_run = current is not None and current.incarnation == action.incarnation
+    joined = Target(
+        name=_checked_name("name", action.name),
+        target_id=current.target_id if current and same_run else state.version + 1,
+        version=state.version + 1,
+        service=_checked_name("service", action.service),
+        domain=_checked_name("domain", action.domain),
+        incarnation=action.incarnation,
+        state=TargetState.DRAINING if action.draining else TargetState.ACTIVE,
+        lost=False,
+        data_address=_checked_address("data_address", action.data_address),
+        stream_address=_checked_address("stream_address", action.stream_address),
+        slots=_checked_range("slots", action.slots, 1, MAX_SLOTS),
+        connections=_checked_range("connections", action.connections, 1, MAX_CONNECTIONS),
+    )
+    if current and same_run and current.state is TargetState.DRAINING:
+        joined = attrs.evolve(joined, state=TargetState.DRAINING)
+    if current and attrs.evolve(joined, version=current.version) == current:
+        text = error_texts.TARGET_UNCHANGED.format(name=action.name, state=current.state.value)
+        raise InvalidChangeError("incarnation", text)
+    return _target_delta(state, joined)
+
+
+@build_delta.register
+def _lose_target(action: LoseTarget, state: State, edit_version: int) -> StateDelta:
+    current = _same_run_target(state, action.name, action.incarnation)
+    if current.lost:
+        text = error_texts.TARGET_UNCHANGED.format(name=action.name, state="lost")
+        raise InvalidChangeError("state", text)
+    return _target_delta(state, attrs.evolve(current, lost=True))
+
+
+@build_delta.register
+def _remove_target(action: RemoveTarget, state: State, edit_version: int) -> StateDelta:
+    current = _same_run_target(state, action.name, action.incarnation)
+    return StateDelta(version=state.version + 1, removed_targets=(current.name,))
+
+
+def _target_delta(state: State, target: Target) -> StateDelta:
+    version = state.version + 1
+    return StateDelta(version=version, targets=(attrs.evolve(target, version=version),))
+
+
+def _same_run_target(state: State, name: str, incarnation: str) -> Target:
+    current = state.targets.get(name)
+    if current is None or current.incarnation != incarnation:
+        raise InvalidChangeError("incarnation", error_texts.NOT_FOUND.format(name=name))
+    return current
+
+
+def _check_entry_version(action: PutEntry, current: Entry | None, edit_version: int) -> None:
+    if current is None and edit_version > 0:
+        raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=action.name))
+    _check_version(current.version if current else 0, edit_version)
+
+
+def _check_version(current_version: int, edit_version: int) -> None:
+    if edit_version not in (ANY_VERSION, current_version):
+        raise VersionConflictError(current_version)
+
+
+def _checked_name(field: str, text: str) -> str:
+    try:
+        return parse_name(text)
+    except ValueError as exc:
+        raise InvalidChangeError(field, str(exc)) from None
+
+
+def _checked_choice(field: str, text: str, choices: type[enum.Enum]) -> str:
+    values = [choice.value for choice in choices]
+    if text not in values:
+        reason = error_texts.NOT_A_CHOICE.format(choices=", ".join(values))
+        raise InvalidChangeError(field, reason)
+    return text
+
+
+def _checked_address(field: str, text: str) -> Address:
+    try:
+        return parse_address(text)
+    except ValueError as exc:
+        raise InvalidChangeError(field, str(exc)) from None
+
+
+def _checked_range(field: str, value: int, low: int, high: int) -> int:
+    if not low <= value <= high:
+        reason = error_texts.NOT_IN_RANGE.format(low=low, high=high)
+        raise InvalidChangeError(field, reason)
+    return value
+
+
+def _checked_limits(action: PutEntry) -> Limits:
+    return Limits(
+        open_flows=_checked_limit("open_flows", action.open_flows),
+        new_flows_per_s=_checked_limit("new_flows_per_s", action.new_flows_per_s),
+        requests_in_flight=_checked_limit("requests_in_flight", action.requests_in_flight),
+    )
+
+
+def _checked_limit(field: str, value: int) -> int:
+    if not 0 <= value <= MAX_LIMIT:
+        raise InvalidChangeError(field, error_texts.LIMIT_RANGE.format(low=1, high=MAX_LIMIT))
+    return value
+
+
+def _refuse_taken_address(entry: Entry, state: State) -> None:
+    for other in state.entries.values():
+        same_address = other.address == entry.address and other.protocol is entry.protocol
+        if same_address and other.name != entry.name:
+            text = error_texts.ADDRESS_TAKEN.format(
+                address=entry.address, protocol=entry.protocol.value, name=other.name
+            )
+            raise InvalidChangeError("address", text)
--- /dev/null
+++ b/lentilcourse/codec.py
@@ -0,0 +1,71 @@
+"""Messages as msgpack: one array of class name and fields for each message.
+
+Serialization is `msgpack` and `cattrs`; this module only ties them to the table of message
+classes and turns every fault of foreign bytes into `ProtocolError`.
+"""
+
+from __future__ import annotations
+
+from typing import Any, Final, TypeVar
+
+import msgpack
+from cattrs.preconf.msgpack import make_converter
+from cattrs.strategies import configure_tagged_union
+
+from lentilcourse import error_texts
+from lentilcourse.changes import Action
+from lentilcourse.errors import ProtocolError
+from lentilcourse.messages import MESSAGE_CLASSES
+
+T = TypeVar("T")
+
+MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
+
+_converter = make_converter()
+configure_tagged_union(Action, _converter, tag_name="action")
+
+
+def encode_message(msg: object) -> bytes:
+    """Return the wire form of a message."""
+    body = [type(msg).__name__, _converter.unstructure(msg)]
+    packed: bytes = msgpack.packb(body, use_bin_type=True)
+    return packed
+
+
+def decode_message(body: object) -> object:
+    """Return the message of an unpacked wire form; raises `ProtocolError`."""
+    if not isinstance(body, list) or len(body) != 2 or not isinstance(body[0], str):
+        raise ProtocolError(error_texts.MESSAGE_INVALID.format(cause="not a name and fields"))
+    cls = MESSAGE_CLASSES.get(body[0])
+    if cls is None:
+        raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=body[0][:64]))
+    return structure(body[1], cls)
+
+
+def structure(fields: object, cls: type[T]) -> T:
+    """Return an object of `cls` from plain fields; raises `ProtocolError`."""
+    try:
+        return _converter.structure(fields, cls)
+    except Exception as exc:
+        text = error_texts.MESSAGE_INVALID.format(cause=f"{cls.__name__}: {exc}")
+        raise ProtocolError(text) from exc
+
+
+def pack_record(record: object) -> bytes:
+    """Return any typed record as msgpack, for files."""
+    packed: bytes = msgpack.packb(_converter.unstructure(record), use_bin_type=True)
+    return packed
+
+
+def unpack_record(packed: bytes, cls: type[T]) -> T:
+    """Return the record of `pack_record`; raises `ProtocolError`."""
+    try:
+        fields = msgpack.unpackb(packed, raw=False)
+    except Exception as exc:
+        raise ProtocolError(error_texts.MESSAGE_INVALID.format(cause=exc)) from exc
+    return structure(fields, cls)
+
+
+def new_unpacker(max_bytes: int) -> Any:
+    """Return an incremental unpacker that refuses a message above `max_bytes`."""
+    return msgpack.Unpacker(raw=False, max_buffer_size=max_bytes)
--- /dev/null
+++ b/lentilcourse/controller/leases.py
@@ -0,0 +1,111 @@
+"""Leases of targets, kept in memory at the leader.
+
+An agent's announcement renews the lease of its target. Only joins, losses and removals enter
+the log. A new leader gives every known target a whole lease.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import Final
+
+import attrs
+
+from lentilcourse.changes import Action, JoinTarget, LoseTarget, RemoveTarget
+from lentilcourse.messages import Announcement
+from lentilcourse.model import State, Target, TargetState
+
+LEASE_S: Final = 1.2
+REMOVE_LOST_AFTER_S: Final = 120.0
+
+
+@attrs.frozen(kw_only=True)
+class Lease:
+    """The last announcement of a target and when it came (monotonic seconds)."""
+
+    announcement: Announcement
+    renewed: float
+
+
+class LeaseTable:
+    """Leases by target name; may be used by any task."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._leases: dict[str, Lease] = {}
+
+    def renew(self, name: str, announcement: Announcement, now: float) -> None:
+        """Renew the lease of a target."""
+        with self._lock:
+            self._leases[name] = Lease(announcement=announcement, renewed=now)
+
+    def clear(self) -> None:
+        """Forget all leases."""
+        with self._lock:
+            self._leases.clear()
+
+    def snapshot(self) -> dict[str, Lease]:
+        """Return a copy of the table."""
+        with self._lock:
+            return dict(self._leases)
+
+
+def due_actions(
+    state: State, leases: dict[str, Lease], leader_since: float, now: float
+) -> list[Action]:
+    """Return the membership changes that announcements and expired leases call for."""
+    actions: list[Action] = []
+    for name, lease in leases.items():
+        if now - lease.renewed <= LEASE_S:
+            actions.extend(_announced_actions(name, lease.announcement, state))
+    for target in state.targets.values():
+        held = leases.get(target.name)
+        renewed = held.renewed if held else leader_since
+        actions.extend(_expired_actions(target, max(renewed, leader_since), now))
+    return actions
+
+
+def _announced_actions(name: str, announcement: Announcement, state: State) -> list[Action]:
+    current = state.targets.get(name)
+    if announcement.leaving:
+        same_run = current is not None and current.incarnation == announcement.incarnation
+        return [RemoveTarget(name=name, incarnation=announcement.incarnation)] if same_run else []
+    if current is not None and _agrees(announcement, current):
+        return []
+    return [
+        JoinTarget(
+            name=name,
+            service=announcement.service,
+            domain=announcement.domain,
+            incarnation=announcement.incarnation,
+            draining=announcement.draining,
+            data_address=announcement.data_address,
+            stream_address=announcement.stream_address,
+            slots=announcement.slots,
+            connections=announcement.connections,
+        )
+    ]
+
+
+def _agrees(announcement: Announcement, target: Target) -> bool:
+    draining_known = target.state is TargetState.DRAINING or not announcement.draining
+    return (
+        draining_known
+        and not target.lost
+        and announcement.service == target.service
+        and announcement.domain == target.domain
+        and announcement.incarnation == target.incarnation
+        and announcement.data_address == str(target.data_address)
+        and announcement.stream_address == str(target.stream_address)
+        and announcement.slots == target.slots
+        and announcement.connections == target.connections
+    )
+
+
+def _expired_actions(target: Target, renewed: float, now: float) -> list[Action]:
+    silence = now - renewed
+    if not target.lost and silence > LEASE_S:
+        return [LoseTarget(name=target.name, incarnation=target.incarnation)]
+    if target.lost and silence > REMOVE_LOST_AFTER_S:
+        return [RemoveTarget(name=target.name, incarnation=target.incarnation)]
+    return []
--- /dev/null
+++ b/lentilcourse/controller/log_store.py
@@ -0,0 +1,191 @@
+"""Durable state of one replica: identity, vote, snapshot and log.
+
+The folder holds `identity`, `vote`, `snapshot`, `log` and, after damage, the marker
+`damaged`. Damage to bytes that may have been synced and answered for sets the marker before
+the tail is cut: the replica then neither votes nor campaigns until a leader has given back
+all that is committed (see `replica`).
+"""
+
+from __future__ import annotations
+
+import secrets
+from pathlib import Path
+from typing import Final, TypeVar
+
+import attrs
+
+from lentilcourse import error_texts
+from lentilcourse.codec import pack_record, unpack_record
+from lentilcourse.controller.files import RecordFile, read_checked, sync_folder, write_atomically
+from lentilcourse.errors import ProtocolError, StorageError
+from lentilcourse.messages import LogEntry, Membership
+
+Loaded = TypeVar("Loaded")
+
+FORMAT_VERSION: Final = 1
+REPLICA_ID_BYTES: Final = 6
+
+
+@attrs.frozen(kw_only=True)
+class ReplicaIdentity:
+    """Identity of one data folder."""
+
+    format_version: int
+    replica_id: str
+
+
+@attrs.frozen(kw_only=True)
+class Vote:
+    """Current term, and the candidate voted for in it ("" for none)."""
+
+    term: int = 0
+    candidate_id: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Snapshot:
+    """All applied changes up to `last_index`, as the image of the state machine."""
+
+    last_index: int = 0
+    last_term: int = 0
+    membership: Membership = attrs.field(factory=lambda: Membership(members=()))
+    image: bytes = b""
+
+
+class LogStore:
+    """Durable log of one replica, with a copy of the entries in memory.
+
+    Attributes:
+        replica_id: identity of the data folder.
+        vote: current term and vote.
+        snapshot: latest snapshot; empty before the first.
+        damaged: whether synced data was lost and not yet given back by a leader.
+    """
+
+    def __init__(self, *, folder: Path, name: str) -> None:
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self.replica_id = self._load_identity(name)
+        self.vote = self._load(folder / "vote", Vote) or Vote()
+        self.snapshot = self._load(folder / "snapshot", Snapshot) or Snapshot()
+        self._file = RecordFile(path=folder / "log")
+        self.damaged = (folder / "damaged").exists()
+        self._entries = self._load_entries()
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot.last_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self.snapshot.last_term
+
+    @property
+    def record_count(self) -> int:
+        """Entries held behind the snapshot."""
+        return len(self._entries)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None where the log does not hold it."""
+        if index == self.snapshot.last_index:
+            return self.snapshot.last_term
+        if not self.snapshot.last_index < index <= self.last_index:
+            return None
+        return self._entries[index - self.snapshot.last_index - 1].term
+
+    def entries_from(self, index: int, limit: int) -> tuple[LogEntry, ...]:
+        """Return up to `limit` entries from `index` on."""
+        start = index - self.snapshot.last_index - 1
+        return tuple(self._entries[start : start + limit])
+
+    def membership(self) -> Membership:
+        """Return the latest membership in the log, committed or not."""
+        for entry in reversed(self._entries):
+            if entry.membership is not None:
+                return entry.membership
+        return self.snapshot.membership
+
+    def membership_index(self) -> int:
+        """Return the index of the latest membership entry."""
+        for entry in reversed(self._entries):
+            if entry.membership is not None:
+                return entry.index
+        return self.snapshot.last_index
+
+    def save_vote(self, vote: Vote) -> None:
+        """Store term and vote durably before they are answered."""
+        write_atomically(self._folder / "vote", pack_record(vote))
+        self.vote = vote
+
+    def append(self, entries: list[LogEntry]) -> None:
+        """Append entries durably with one sync."""
+        if not entries:
+            return
+        self._file.append([pack_record(entry) for entry in entries])
+        self._entries.extend(entries)
+
+    def truncate_from(self, index: int) -> None:
+        """Remove the entry at `index` and all after it."""
+        position = index - self.snapshot.last_index - 1
+        self._file.truncate_from(position)
+        del self._entries[position:]
+
+    def install(self, snapshot: Snapshot) -> None:
+        """Replace the snapshot, keeping the entries that follow it if they agree."""
+        agrees = self.term_at(snapshot.last_index) == snapshot.last_term
+        kept = self.entries_from(snapshot.last_index + 1, len(self._entries)) if agrees else ()
+        write_atomically(self._folder / "snapshot", pack_record(snapshot))
+        self._file.replace_all([pack_record(entry) for entry in kept])
+        self.snapshot = snapshot
+        self._entries = list(kept)
+
+    def clear_damage(self) -> None:
+        """Remove the damage marker once a leader has given back all that is committed."""
+        (self._folder / "damaged").unlink(missing_ok=True)
+        sync_folder(self._folder)
+        self.damaged = False
+
+    def close(self) -> None:
+        """Close the log file."""
+        self._file.close()
+
+    def _load_identity(self, name: str) -> str:
+        path = self._folder / "identity"
+        identity = self._load(path, ReplicaIdentity)
+        if identity is None:
+            replica_id = f"{name}/{secrets.token_hex(REPLICA_ID_BYTES)}"
+            identity = ReplicaIdentity(format_version=FORMAT_VERSION, replica_id=replica_id)
+            write_atomically(path, pack_record(identity))
+        if identity.format_version != FORMAT_VERSION:
+            text = error_texts.DATA_FOREIGN.format(file=path.name, version=identity.format_version)
+            raise StorageError(text)
+        return identity.replica_id
+
+    def _load(self, path: Path, cls: type[Loaded]) -> Loaded | None:
+        data = read_checked(path)
+        if data is None:
+            return None
+        try:
+            return unpack_record(data, cls)
+        except ProtocolError as exc:
+            raise StorageError(f"{path.name}: {exc}") from exc
+
+    def _load_entries(self) -> list[LogEntry]:
+        if self._file.damage:
+            self._mark_damaged()
+            self._file.cut_damage()
+        entries = [unpack_record(payload, LogEntry) for payload in self._file.take_payloads()]
+        skipped = [entry for entry in entries if entry.index <= self.snapshot.last_index]
+        kept = entries[len(skipped) :]
+        if kept and kept[0].index != self.snapshot.last_index + 1:
+            self._mark_damaged()
+            kept = []
+        if skipped or len(kept) != len(entries):
+            self._file.replace_all([pack_record(entry) for entry in kept])
+        return kept
+
+    def _mark_damaged(self) -> None:
+        write_atomically(self._folder / "damaged", b"")
+        self.damaged = True
--- /dev/null
+++ b/lentilcourse/controller/machine.py
@@ -0,0 +1,130 @@
+"""The replicated state machine: catalogue state, outcomes by change id, audit trail.
+
+`CatalogueMachine.apply` is deterministic. Outcomes are kept so that a resend under the same
+change id returns the first outcome, also after a restart and from another controller. Both
+outcomes and audit records are bounded; the oldest go first.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import Final
+
+import attrs
+
+from lentilcourse.changes import Change, Outcome, decide_change, subject, summarize
+from lentilcourse.codec import pack_record, unpack_record
+from lentilcourse.messages import AuditRecord, AuditRequest
+from lentilcourse.model import State, StateDelta, apply_delta
+
+MAX_OUTCOMES: Final = 20_000
+MAX_AUDIT_RECORDS: Final = 20_000
+MAX_DELTAS: Final = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class MachineImage:
+    """All durable content of the machine, for a snapshot."""
+
+    state: State
+    outcomes: tuple[Outcome, ...]
+    audit: tuple[AuditRecord, ...]
+    next_sequence: int
+
+
+class CatalogueMachine:
+    """Applies committed changes in log order.
+
+    Attributes:
+        state: state after the last applied change.
+    """
+
+    def __init__(self) -> None:
+        self.state = State()
+        self._outcomes: OrderedDict[str, Outcome] = OrderedDict()
+        self._audit: deque[AuditRecord] = deque(maxlen=MAX_AUDIT_RECORDS)
+        self._next_sequence = 1
+        self._deltas: deque[StateDelta] = deque(maxlen=MAX_DELTAS)
+
+    def apply(self, change: Change) -> Outcome:
+        """Apply one committed change and return its outcome, or the first one of a resend."""
+        first = self._outcomes.get(change.change_id)
+        if first is not None:
+            return first
+        before = self.state.version
+        outcome, delta = decide_change(self.state, change)
+        if delta is not None:
+            self.state = apply_delta(self.state, delta)
+            self._deltas.append(delta)
+        self._remember(outcome)
+        self._record(change, outcome, before)
+        return outcome
+
+    def outcome_of(self, change_id: str) -> Outcome | None:
+        """Return the outcome of an applied change."""
+        return self._outcomes.get(change_id)
+
+    def deltas_after(self, version: int) -> list[StateDelta] | None:
+        """Return every delta after `version`, None where they are no longer held."""
+        if version == self.state.version:
+            return []
+        if not self._deltas or version > self.state.version:
+            return None
+        first = self._deltas[0].version
+        if version + 1 < first:
+            return None
+        return list(self._deltas)[version + 1 - first :]
+
+    def search_audit(self, req: AuditRequest) -> tuple[AuditRecord, ...]:
+        """Return the last matching audit records, oldest first."""
+        found = [
+            record
+            for record in self._audit
+            if req.subject in ("", record.subject)
+            and req.operator in ("", record.operator)
+            and req.verdict in ("", record.verdict)
+        ]
+        return tuple(found[-req.last :])
+
+    def image(self) -> bytes:
+        """Return the snapshot of the machine."""
+        return pack_record(
+            MachineImage(
+                state=self.state,
+                outcomes=tuple(self._outcomes.values()),
+                audit=tuple(self._audit),
+                next_sequence=self._next_sequence,
+            )
+        )
+
+    def restore(self, packed: bytes) -> None:
+        """Replace all content by a snapshot."""
+        image = unpack_record(packed, MachineImage)
+        self.state = image.state
+        self._outcomes = OrderedDict((each.change_id, each) for each in image.outcomes)
+        self._audit = deque(image.audit, maxlen=MAX_AUDIT_RECORDS)
+        self._next_sequence = image.next_sequence
+        self._deltas.clear()
+
+    def _remember(self, outcome: Outcome) -> None:
+        self._outcomes[outcome.change_id] = outcome
+        while len(self._outcomes) > MAX_OUTCOMES:
+            self._outcomes.popitem(last=False)
+
+    def _record(self, change: Change, outcome: Outcome, version_before: int) -> None:
+        self._audit.append(
+            AuditRecord(
+                sequence=self._next_sequence,
+                at_ms=change.at_ms,
+                operator=change.operator,
+                source=change.source,
+                change_id=change.change_id,
+                subject=subject(change.action),
+                summary=summarize(change.action),
+                version_before=version_before,
+                version_after=self.state.version,
+                verdict=outcome.verdict.value,
+                reason=f"{outcome.field} {outcome.reason}".strip(),
+            )
+        )
+        self._next_sequence += 1
--- /dev/null
+++ b/lentilcourse/controller/proposals.py
@@ -0,0 +1,123 @@
+"""Brings a change into the log from any controller.
+
+A controller that is not the leader passes the change on to it. A change is resent under its
+change id until the outcome is known or `PROPOSAL_TIMEOUT_S` has passed; a resend returns the
+first outcome.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import Final
+
+from lentilcourse import error_texts
+from lentilcourse.changes import Change, Outcome
+from lentilcourse.controller.replica import Replica, Role
+from lentilcourse.errors import NotLeaderError, ProposalUnknownError, StreamError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.messages import ChangeReply, ForwardAnnouncement, ForwardChange, Member
+from lentilcourse.options import parse_address
+from lentilcourse.streams import Identity, Stream, connect_stream
+
+PROPOSAL_TIMEOUT_S: Final = 3.0
+RETRY_DELAY_S: Final = 0.05
+
+
+class LeaderClient:
+    """One stream to the current leader, reopened when the leader changes."""
+
+    def __init__(self, *, identity: Identity) -> None:
+        self._identity = identity
+        self._lock = threading.Lock()
+        self._stream: Stream | None = None
+        self._leader_id = ""
+
+    def call(self, leader: Member, msg: object) -> object:
+        """Send a request to `leader` and return the answer; raises `StreamError`."""
+        with self._lock:
+            stream = self._stream_to(leader)
+            try:
+                return stream.call(msg)
+            except StreamError:
+                stream.close()
+                self._stream = None
+                raise
+
+    def _stream_to(self, leader: Member) -> Stream:
+        stream = self._stream
+        if stream is not None and self._leader_id == leader.replica_id and not stream.closed:
+            return stream
+        if stream is not None:
+            stream.close()
+        self._stream = connect_stream(parse_address(leader.address), self._identity)
+        self._leader_id = leader.replica_id
+        return self._stream
+
+
+class Proposer:
+    """Submits changes for operators, subscribers and leases."""
+
+    def __init__(self, *, replica: Replica, identity: Identity, lifecycle: Lifecycle) -> None:
+        self._replica = replica
+        self._changes = LeaderClient(identity=identity)
+        self._announcements = LeaderClient(identity=identity)
+        self._lifecycle = lifecycle
+
+    def submit(self, change: Change) -> Outcome:
+        """Return the outcome of a change; raises `ProposalUnknownError` when it is late."""
+        deadline = time.monotonic() + PROPOSAL_TIMEOUT_S
+        while True:
+            outcome = self._known_outcome(change.change_id)
+            if outcome is not None:
+                return outcome
+            try:
+                return self._submit_once(change, deadline)
+            except (NotLeaderError, StreamError):
+                if time.monotonic() >= deadline or self._lifecycle.stopped.is_set():
+                    raise _unknown() from None
+            time.sleep(RETRY_DELAY_S)
+
+    def submit_as_leader(self, change: Change) -> Outcome:
+        """Bring a forwarded change into the log; raises `NotLeaderError` elsewhere."""
+        return self._submit_local(change, time.monotonic() + PROPOSAL_TIMEOUT_S)
+
+    def forward_announcement(self, msg: ForwardAnnouncement) -> None:
+        """Pass an announcement on to the leader; a lost one is repeated by the agent."""
+        leader = self._replica.leader()
+        if leader is None:
+            return
+        try:
+            self._announcements.call(leader, msg)
+        except StreamError:
+            return
+
+    def _known_outcome(self, change_id: str) -> Outcome | None:
+        with self._replica.changed:
+            return self._replica.machine.outcome_of(change_id)
+
+    def _submit_once(self, change: Change, deadline: float) -> Outcome:
+        if self._replica.role is Role.LEADER:
+            return self._submit_local(change, deadline)
+        leader = self._replica.leader()
+        if leader is None:
+            raise NotLeaderError(error_texts.NOT_LEADER)
+        reply = self._changes.call(leader, ForwardChange(change=change))
+        if not isinstance(reply, ChangeReply):
+            raise NotLeaderError(error_texts.NOT_LEADER)
+        return reply.outcome
+
+    def _submit_local(self, change: Change, deadline: float) -> Outcome:
+        fut = self._replica.propose(change)
+        try:
+            outcome = fut.result(timeout=max(0.0, deadline - time.monotonic()))
+        except FutureTimeoutError:
+            raise _unknown() from None
+        if outcome is None:
+            raise _unknown()
+        return outcome
+
+
+def _unknown() -> ProposalUnknownError:
+    return ProposalUnknownError(error_texts.PROPOSAL_UNKNOWN.format(seconds=PROPOSAL_TIMEOUT_S))
--- /dev/null
+++ b/lentilcourse/controller/replication.py
@@ -0,0 +1,147 @@
+"""Drives one replica over streams: a task for each peer, one for time, one for the log.
+
+`ReplicaDriver` starts and ends the peer tasks as the membership changes. A peer task opens a
+stream, sends what `Replica.next_request` returns and feeds the answers back; a peer that is
+silent past `RPC_TIMEOUT_S` loses its stream and gets a new one.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from functools import singledispatch
+from typing import Final
+
+from lentilcourse import error_texts
+from lentilcourse.controller.replica import PeerRequest, Replica
+from lentilcourse.errors import ProtocolError, StorageError, StreamError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
+from lentilcourse.messages import (
+    AppendReply,
+    AppendRequest,
+    InstallRequest,
+    Member,
+    VoteReply,
+    VoteRequest,
+)
+from lentilcourse.options import parse_address
+from lentilcourse.streams import Identity, Stream, connect_stream
+
+TICK_S: Final = 0.02
+RPC_TIMEOUT_S: Final = 1.0
+RECONNECT_DELAY_S: Final = 0.1
+MAX_PEERS: Final = 16
+
+_log = get_logger(__name__)
+
+
+class ReplicaDriver:
+    """Runs the tasks of one replica."""
+
+    def __init__(self, *, replica: Replica, identity: Identity, lifecycle: Lifecycle) -> None:
+        self._replica = replica
+        self._identity = identity
+        self._lifecycle = lifecycle
+        self._pool = lifecycle.pool(name="replica", limit=MAX_PEERS + 2)
+        self._running: set[str] = set()
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Start the timer and log tasks."""
+        self._pool.submit(self._run_timer)
+        self._pool.submit(self._run_log)
+
+    def _run_timer(self) -> None:
+        while not self._lifecycle.stopped.wait(timeout=TICK_S):
+            try:
+                self._replica.tick(time.monotonic())
+            except StorageError as exc:
+                _log.error("vote_write_failed", error=str(exc))
+            self._start_missing_peers()
+
+    def _run_log(self) -> None:
+        while not self._lifecycle.stopped.is_set():
+            if self._replica.proposals_waiting.wait(timeout=TICK_S):
+                self._replica.write_proposals(time.monotonic())
+
+    def _start_missing_peers(self) -> None:
+        for member in self._replica.membership().members:
+            with self._lock:
+                own = member.replica_id == self._replica.replica_id
+                if own or member.replica_id in self._running:
+                    continue
+                self._running.add(member.replica_id)
+            self._pool.submit(lambda member=member: self._run_peer(member))  # type: ignore[misc]
+
+    def _run_peer(self, member: Member) -> None:
+        try:
+            while self._is_member(member) and not self._lifecycle.stopped.is_set():
+                self._serve_peer(member)
+                self._lifecycle.stopped.wait(timeout=RECONNECT_DELAY_S)
+        finally:
+            with self._lock:
+                self._running.discard(member.replica_id)
+
+    def _is_member(self, member: Member) -> bool:
+        return self._replica.membership().find(member.replica_id) is not None
+
+    def _serve_peer(self, member: Member) -> None:
+        try:
+            stream = connect_stream(parse_address(member.address), self._identity)
+        except StreamError:
+            self._replica.on_peer_lost(member.replica_id, time.monotonic())
+            return
+        stream.set_timeout(RPC_TIMEOUT_S)
+        try:
+            while self._is_member(member) and not self._lifecycle.stopped.is_set():
+                self._exchange(member.replica_id, stream)
+        except StreamError:
+            self._replica.on_peer_lost(member.replica_id, time.monotonic())
+        finally:
+            stream.close()
+
+    def _exchange(self, peer_id: str, stream: Stream) -> None:
+        req = self._wait_for_request(peer_id)
+        if req is None:
+            return
+        sent = time.monotonic()
+        reply = stream.call(req)
+        handle_reply(req, reply, self._replica, peer_id, sent)
+
+    def _wait_for_request(self, peer_id: str) -> PeerRequest | None:
+        with self._replica.changed:
+            req = self._replica.next_request(peer_id, time.monotonic())
+            if req is None:
+                self._replica.changed.wait(timeout=self._replica.heartbeat_interval_s / 2)
+                req = self._replica.next_request(peer_id, time.monotonic())
+            return req
+
+
+@singledispatch
+def handle_reply(req: object, reply: object, replica: Replica, peer_id: str, sent: float) -> None:
+    """Feed a peer's reply to the replica, by the kind of request it answers."""
+    raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(req).__name__))
+
+
+@handle_reply.register
+def _handle_vote(
+    req: VoteRequest, reply: object, replica: Replica, peer_id: str, sent: float
+) -> None:
+    if not isinstance(reply, VoteReply):
+        raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(reply).__name__))
+    replica.on_vote_reply(peer_id, req, reply, time.monotonic())
+
+
+@handle_reply.register(AppendRequest)
+@handle_reply.register(InstallRequest)
+def _handle_append(
+    req: AppendRequest | InstallRequest,
+    reply: object,
+    replica: Replica,
+    peer_id: str,
+    sent: float,
+) -> None:
+    if not isinstance(reply, AppendReply):
+        raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(reply).__name__))
+    replica.on_append_reply(peer_id, req, reply, sent, time.monotonic())
--- /dev/null
+++ b/lentilcourse/controller/role.py
@@ -0,0 +1,349 @@
+"""Assembles the role controller and answers requests of operators and processes."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from functools import singledispatch
+from typing import Final
+
+import attrs
+
+from lentilcourse import error_texts
+from lentilcourse.changes import (
+    ANY_VERSION,
+    SYSTEM_OPERATOR,
+    Action,
+    Change,
+    DeleteEntry,
+    DrainTarget,
+    PutEntry,
+    SetDomain,
+)
+from lentilcourse.controller.leases import LeaseTable, due_actions
+from lentilcourse.controller.log_store import LogStore
+from lentilcourse.controller.machine import CatalogueMachine
+from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
+from lentilcourse.controller.replica import MS_PER_S, Replica, Role
+from lentilcourse.controller.replication import ReplicaDriver
+from lentilcourse.controller.subscriptions import (
+    MAX_FRESHNESS_MS,
+    MAX_SUBSCRIBERS,
+    Subscriptions,
+)
+from lentilcourse.errors import (
+    ChangeRefusedError,
+    LentilcourseError,
+    ProposalUnknownError,
+    ProtocolError,
+    StreamError,
+)
+from lentilcourse.ids import new_id
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
+from lentilcourse.messages import (
+    Announcement,
+    AppendRequest,
+    AuditReply,
+    AuditRequest,
+    BootstrapRequest,
+    ChangeReply,
+    Done,
+    Failure,
+    ForwardAnnouncement,
+    ForwardChange,
+    InstallRequest,
+    MembershipRequest,
+    ProposeChange,
+    StateReply,
+    StateRequest,
+    StatusReply,
+    StatusRequest,
+    Subscribe,
+    VoteRequest,
+)
+from lentilcourse.options import ControllerSettings, Settings
+from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.streams import (
+    KIND_OPERATOR,
+    KIND_PROCESS,
+    Identity,
+    KeyRing,
+    Stream,
+    StreamListener,
+)
+
+LEASE_CHECK_S: Final = 0.1
+OPERATOR_ACTIONS: Final = (PutEntry, DeleteEntry, SetDomain, DrainTarget)
+OPERATOR_MESSAGES: Final = (
+    ProposeChange,
+    StateRequest,
+    StatusRequest,
+    AuditRequest,
+    BootstrapRequest,
+    MembershipRequest,
+)
+PROCESS_MESSAGES: Final = (
+    VoteRequest,
+    AppendRequest,
+    InstallRequest,
+    ForwardChange,
+    ForwardAnnouncement,
+    StateRequest,
+    StatusRequest,
+)
+
+_log = get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class Caller:
+    """Who sent a request, as its stream proved it."""
+
+    name: str
+    kind: str
+    remote: str
+
+
+class Controller:
+    """One controller process."""
+
+    def __init__(
+        self, *, settings: Settings, cfg: ControllerSettings, lifecycle: Lifecycle
+    ) -> None:
+        self.name = settings.process.name
+        self.settings = settings
+        self.cfg = cfg
+        self.lifecycle = lifecycle
+        identity = Identity(name=self.name, kind=KIND_PROCESS, key=settings.cluster_key)
+        self.store = LogStore(folder=cfg.data_folder, name=self.name)
+        self.replica = Replica(
+            store=self.store,
+            machine=CatalogueMachine(),
+            election_timeout_s=cfg.election_timeout_ms / MS_PER_S,
+            snapshot_records=cfg.snapshot_records,
+            group_commit=cfg.group_commit,
+            rng=random.Random(),
+            now=time.monotonic(),
+        )
+        self.driver = ReplicaDriver(replica=self.replica, identity=identity, lifecycle=lifecycle)
+        self.proposer = Proposer(replica=self.replica, identity=identity, lifecycle=lifecycle)
+        self.leases = LeaseTable()
+        self.subscriptions = Subscriptions(
+            replica=self.replica, lifecycle=lifecycle, on_announcement=self.take_announcement
+        )
+        self._tasks = lifecycle.pool(name="controller", limit=4)
+        self._proposing: set[str] = set()
+        self._proposing_lock = threading.Lock()
+        self._listener = StreamListener(
+            name=self.name,
+            address=cfg.address,
+            keys=KeyRing(cluster_key=settings.cluster_key, operator_keys=settings.operator_keys),
+            pool=lifecycle.pool(name="controller-stream", limit=MAX_SUBSCRIBERS),
+            lifecycle=lifecycle,
+            serve=self.serve,
+        )
+        self._lease_pool = lifecycle.pool(name="lease-proposal", limit=64)
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self.driver.start()
+        self._tasks.submit(self._listener.run)
+        self._tasks.submit(self._run_leases)
+        if self.replica.damaged:
+            _log.warning("log_damaged", replica=self.replica.replica_id)
+
+    def serve(self, stream: Stream) -> None:
+        """Serve one stream until it ends."""
+        caller = Caller(name=stream.peer, kind=stream.kind, remote=stream.remote)
+        while not self.lifecycle.stopped.is_set():
+            msg = stream.receive()
+            if isinstance(msg, Subscribe) and caller.kind == KIND_PROCESS:
+                self.subscriptions.serve(stream, msg)
+                return
+            stream.send(self._answer(msg, caller))
+
+    def take_announcement(self, name: str, announcement: Announcement) -> None:
+        """Renew a lease here, or at the leader."""
+        if self.replica.role is Role.LEADER:
+            self.leases.renew(name, announcement, time.monotonic())
+            return
+        self.proposer.forward_announcement(
+            ForwardAnnouncement(name=name, announcement=announcement)
+        )
+
+    def _answer(self, msg: object, caller: Caller) -> object:
+        allowed = OPERATOR_MESSAGES if caller.kind == KIND_OPERATOR else PROCESS_MESSAGES
+        if not isinstance(msg, allowed):
+            raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(msg).__name__))
+        try:
+            return answer(msg, self, caller)
+        except StreamError:
+            raise
+        except LentilcourseError as exc:
+            return Failure(code=type(exc).__name__, text=str(exc))
+
+    def _run_leases(self) -> None:
+        leader_since = 0.0
+        led = False
+        while not self.lifecycle.stopped.wait(timeout=LEASE_CHECK_S):
+            leads = self.replica.role is Role.LEADER
+            now = time.monotonic()
+            if leads and not led:
+                leader_since = now
+                self.leases.clear()
+            led = leads
+            if leads:
+                self._propose_due(leader_since, now)
+
+    def _propose_due(self, leader_since: float, now: float) -> None:
+        with self.replica.changed:
+            state = self.replica.machine.state
+        for action in due_actions(state, self.leases.snapshot(), leader_since, now):
+            self._propose_once(action)
+
+    def _propose_once(self, action: Action) -> None:
+        with self._proposing_lock:
+            if action.name in self._proposing:
+                return
+            self._proposing.add(action.name)
+        self._lease_pool.submit(lambda: self._propose_membership(action))
+
+    def _propose_membership(self, action: Action) -> None:
+        change = Change(
+            change_id=new_id(),
+            operator=SYSTEM_OPERATOR,
+            source=self.name,
+            at_ms=wall_clock_ms(),
+            edit_version=ANY_VERSION,
+            action=action,
+        )
+        try:
+            self.proposer.submit_as_leader(change)
+        except ProposalUnknownError:
+            return
+        finally:
+            with self._proposing_lock:
+                self._proposing.discard(action.name)
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in ms since 1970, for records that people read."""
+    return time.time_ns() // 1_000_000
+
+
+@singledispatch
+def answer(msg: object, controller: Controller, caller: Caller) -> object:
+    """Return the answer to a request, by its kind."""
+    raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(msg).__name__))
+
+
+@answer.register
+def _vote(msg: VoteRequest, controller: Controller, caller: Caller) -> object:
+    return controller.replica.on_vote_request(msg, time.monotonic())
+
+
+@answer.register
+def _append(msg: AppendRequest, controller: Controller, caller: Caller) -> object:
+    return controller.replica.on_append_request(msg, time.monotonic())
+
+
+@answer.register
+def _install(msg: InstallRequest, controller: Controller, caller: Caller) -> object:
+    return controller.replica.on_install_request(msg, time.monotonic())
+
+
+@answer.register
+def _propose(msg: ProposeChange, controller: Controller, caller: Caller) -> object:
+    change = Change(
+        change_id=msg.change_id,
+        operator=caller.name,
+        source=caller.remote.rpartition(":")[0],
+        at_ms=wall_clock_ms(),
+        edit_version=max(msg.edit_version, 0),
+        action=msg.action,
+    )
+    if not isinstance(msg.action, OPERATOR_ACTIONS):
+        raise ChangeRefusedError(
+            error_texts.MESSAGE_UNEXPECTED.format(name=type(msg.action).__name__)
+        )
+    return ChangeReply(outcome=controller.proposer.submit(change))
+
+
+@answer.register
+def _forward_change(msg: ForwardChange, controller: Controller, caller: Caller) -> object:
+    return ChangeReply(outcome=controller.proposer.submit_as_leader(msg.change))
+
+
+@answer.register
+def _forward_announcement(
+    msg: ForwardAnnouncement, controller: Controller, caller: Caller
+) -> object:
+    if controller.replica.role is Role.LEADER:
+        controller.leases.renew(msg.name, msg.announcement, time.monotonic())
+    return Done()
+
+
+@answer.register
+def _state(msg: StateRequest, controller: Controller, caller: Caller) -> object:
+    with controller.replica.changed:
+        return StateReply(state=controller.replica.machine.state)
+
+
+@answer.register
+def _audit(msg: AuditRequest, controller: Controller, caller: Caller) -> object:
+    with controller.replica.changed:
+        return AuditReply(records=controller.replica.machine.search_audit(msg))
+
+
+@answer.register
+def _bootstrap(msg: BootstrapRequest, controller: Controller, caller: Caller) -> object:
+    controller.replica.bootstrap(msg.membership)
+    _log.info("bootstrapped", operator=caller.name)
+    return Done()
+
+
+@answer.register
+def _membership(msg: MembershipRequest, controller: Controller, caller: Caller) -> object:
+    fut = controller.replica.propose_membership(msg.verb, msg.member, time.monotonic())
+    fut.result(timeout=PROPOSAL_TIMEOUT_S)
+    _log.info("membership_changed", verb=msg.verb, member=msg.member.name, operator=caller.name)
+    return Done()
+
+
+@answer.register
+def _status(msg: StatusRequest, controller: Controller, caller: Caller) -> object:
+    now = time.monotonic()
+    replica = controller.replica
+    with replica.changed:
+        return StatusReply(
+            name=controller.name,
+            replica_id=replica.replica_id,
+            role=replica.role.value,
+            term=replica.term,
+            leader=replica.leader_id,
+            version=replica.machine.state.version,
+            log_index=replica.last_index,
+            commit_index=replica.commit_index,
+            freshness_ms=int(min(replica.freshness_s(now) * MS_PER_S, MAX_FRESHNESS_MS)),
+            damaged=replica.damaged,
+            membership=replica.membership(),
+            reports=controller.subscriptions.reports(now),
+        )
+
+
+@ROLE_PLUGINS.register("controller")
+def start_controller(context: ProcessContext) -> None:
+    """Start the role controller."""
+    cfg = context.settings.controller
+    assert cfg is not None
+    controller = Controller(settings=context.settings, cfg=cfg, lifecycle=context.lifecycle)
+    replica = controller.replica
+    metrics = context.metrics
+    metrics.gauge("lentilcourse.controller.version", lambda: replica.machine.state.version)
+    metrics.gauge("lentilcourse.controller.term", lambda: replica.term)
+    metrics.gauge("lentilcourse.controller.log_index", lambda: replica.last_index)
+    metrics.gauge("lentilcourse.controller.commit_index", lambda: replica.commit_index)
+    metrics.gauge("lentilcourse.controller.leader", lambda: int(replica.role is Role.LEADER))
+    controller.start()
--- /dev/null
+++ b/lentilcourse/daemon.py
@@ -0,0 +1,76 @@
+"""Entry point of the daemon `lentilcoursed`; matched by `client` for operators.
+
+Reads the settings, starts the role that they name and runs until a stop signal.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Final
+
+import defopt
+
+from lentilcourse.admin import AdminServer
+from lentilcourse.errors import LentilcourseError, SettingsError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import configure_logging, get_logger
+from lentilcourse.metrics import Metrics
+from lentilcourse.options import Settings, load_settings
+from lentilcourse.plugins import load_plugins
+from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.streams import start_heartbeats
+
+EXIT_FAILED: Final = 1
+EXIT_SETTINGS: Final = 2
+SWITCH_INTERVAL_S: Final = 0.001
+
+_log = get_logger(__name__)
+
+
+def run(*, settings: str) -> None:
+    """Run one process of the load balancer until SIGTERM or SIGINT.
+
+    :param settings: INI file with the settings of this process
+    """
+    try:
+        cfg = load_settings(settings)
+    except SettingsError as exc:
+        print(f"lentilcoursed: {exc}", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    if cfg.process.role == "operator":
+        print(f"lentilcoursed: {settings}: role operator is for lentilcourse", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    sys.exit(run_process(cfg))
+
+
+def run_process(cfg: Settings) -> int:
+    """Start the role, wait for the stop signal and return the exit status."""
+    configure_logging(process=cfg.process.name, role=cfg.process.role, level=cfg.process.log_level)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    load_plugins()
+    lifecycle = Lifecycle()
+    lifecycle.install_signal_handlers()
+    metrics = Metrics(process=cfg.process.name, role=cfg.process.role, domain=cfg.process.domain)
+    try:
+        admin = AdminServer(address=cfg.process.admin_address, lifecycle=lifecycle)
+        admin.add_metrics(metrics)
+        context = ProcessContext(settings=cfg, lifecycle=lifecycle, metrics=metrics, admin=admin)
+        start_heartbeats(lifecycle)
+        ROLE_PLUGINS.get(cfg.process.role)(context)
+        admin.start()
+    except (LentilcourseError, OSError) as exc:
+        _log.error("start_failed", error=str(exc))
+        lifecycle.stopped.set()
+        return EXIT_FAILED
+    _log.info("process_started", settings=cfg.file)
+    lifecycle.run_until_stopped()
+    return 0
+
+
+def main() -> None:
+    """Parse the command line and run."""
+    defopt.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lentilcourse/model.py
@@ -0,0 +1,198 @@
+"""The replicated state: catalogue entries, failure domains and targets.
+
+The controllers agree on a `State`; every other process holds a copy at some version.
+Records are immutable and keyed by name; a version is the number of accepted changes.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Final, TypeVar
+
+import attrs
+
+from lentilcourse.options import Address
+
+
+class Protocol(enum.Enum):
+    """How callers reach an entry."""
+
+    UDP = "udp"
+    TCP = "tcp"
+    HTTP = "http"
+
+
+class TrafficClass(enum.Enum):
+    """Class of an entry; ranks its traffic when targets are short."""
+
+    INTERACTIVE = "interactive"
+    STANDARD = "standard"
+    BULK = "bulk"
+
+
+CLASS_RANK: Final = {
+    TrafficClass.INTERACTIVE: 0,
+    TrafficClass.STANDARD: 1,
+    TrafficClass.BULK: 2,
+}
+
+
+class DomainState(enum.Enum):
+    """Whether a failure domain is in service."""
+
+    IN = "in"
+    OUT = "out"
+
+
+class TargetState(enum.Enum):
+    """Whether a target takes new work (ACTIVE) or only keeps what it has (DRAINING)."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """What an owner lets an entry take; 0 means no limit.
+
+    Attributes:
+        open_flows: the most open flows.
+        new_flows_per_s: the most new flows in one second.
+        requests_in_flight: the most requests that run at once.
+    """
+
+    open_flows: int = 0
+    new_flows_per_s: int = 0
+    requests_in_flight: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """One catalogue entry.
+
+    Attributes:
+        name: unique name; requests name it in their Host header.
+        entry_id: version at which the entry was created; never used twice.
+        version: version of the last change of this entry.
+        service: service whose targets take the traffic.
+        owner: who answers for the limits.
+        traffic_class: rank of the traffic.
+        protocol: how callers reach the entry.
+        address: service address of the entry; unique with the protocol.
+        limits: the owner's limits.
+    """
+
+    name: str
+    entry_id: int
+    version: int
+    service: str
+    owner: str
+    traffic_class: TrafficClass
+    protocol: Protocol
+    address: Address
+    limits: Limits
+
+
+@attrs.frozen(kw_only=True)
+class Domain:
+    """State of one failure domain; `version` is that of its last change."""
+
+    name: str
+    version: int
+    state: DomainState
+
+
+@attrs.frozen(kw_only=True)
+class Target:
+    """One target with the agent beside it.
+
+    Attributes:
+        name: name of the agent's process.
+        target_id: version at which the target joined; never used twice.
+        version: version of the last change of this target.
+        service: service that the target announced.
+        domain: failure domain of its VM.
+        incarnation: identity of the target's run, chosen by the target.
+        state: whether it takes new work.
+        lost: whether its lease has expired; it takes no new work then, yet its flows stay known.
+        data_address: UDP address of the agent.
+        stream_address: TCP address of the agent.
+        slots: requests that the target runs at once.
+        connections: flows that the target holds at most.
+    """
+
+    name: str
+    target_id: int
+    version: int
+    service: str
+    domain: str
+    incarnation: str
+    state: TargetState
+    lost: bool
+    data_address: Address
+    stream_address: Address
+    slots: int
+    connections: int
+
+
+@attrs.frozen(kw_only=True)
+class State:
+    """The whole replicated state at one version."""
+
+    version: int = 0
+    entries: dict[str, Entry] = attrs.field(factory=dict)
+    domains: dict[str, Domain] = attrs.field(factory=dict)
+    targets: dict[str, Target] = attrs.field(factory=dict)
+
+    def domain_out(self, domain: str) -> bool:
+        """Return whether operators have taken `domain` out of service."""
+        record = self.domains.get(domain)
+        return record is not None and record.state is DomainState.OUT
+
+    def service_targets(self, service: str) -> list[Target]:
+        """Return the targets of `service` in every membership state, ordered by name."""
+        members = [target for target in self.targets.values() if target.service == service]
+        return sorted(members, key=lambda target: target.name)
+
+
+@attrs.frozen(kw_only=True)
+class StateDelta:
+    """The records that one accepted change replaced or removed.
+
+    Applying the deltas of versions 1..n to an empty state gives the state at version n.
+    """
+
+    version: int
+    entries: tuple[Entry, ...] = ()
+    domains: tuple[Domain, ...] = ()
+    targets: tuple[Target, ...] = ()
+    removed_entries: tuple[str, ...] = ()
+    removed_targets: tuple[str, ...] = ()
+
+
+NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target)
+
+
+def apply_delta(state: State, delta: StateDelta) -> State:
+    """Return the state after `delta`; a delta that is not the next one changes nothing."""
+    if delta.version != state.version + 1:
+        return state
+    return State(
+        version=delta.version,
+        entries=_replaced(state.entries, delta.entries, delta.removed_entries),
+        domains=_replaced(state.domains, delta.domains, ()),
+        targets=_replaced(state.targets, delta.targets, delta.removed_targets),
+    )
+
+
+def _replaced(
+    records: dict[str, NamedRecord], puts: tuple[NamedRecord, ...], removed: tuple[str, ...]
+) -> dict[str, NamedRecord]:
+    if not puts and not removed:
+        return records
+    result = dict(records)
+    for record in puts:
+        result[record.name] = record
+    for name in removed:
+        result.pop(name, None)
+    return result
--- /dev/null
+++ b/lentilcourse/options.py
@@ -0,0 +1,368 @@
+"""Checked settings of a process, read from an INI file.
+
+`load_settings` reads the whole file, refuses unknown sections and keys, and returns one
+typed `Settings`. Each error names file, section and key. docs/OPERATORS.md lists the keys.
+"""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Final, TypeVar
+
+import attrs
+
+from lentilcourse import error_texts
+from lentilcourse.errors import SettingsError
+
+T = TypeVar("T")
+
+MIN_KEY_HEX_DIGITS: Final = 32
+MAX_PORT: Final = 65535
+NAME_PATTERN: Final = re.compile(r"[A-Za-z][A-Za-z0-9._-]{0,62}")
+ROLES: Final = ("balancer", "agent", "controller", "operator")
+LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+@attrs.frozen(kw_only=True, order=True)
+class Address:
+    """An IPv4 address by number with a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def pair(self) -> tuple[str, int]:
+        """Return the form that the socket module takes."""
+        return (self.host, self.port)
+
+
+@attrs.frozen(kw_only=True)
+class ProcessSettings:
+    """Section [process].
+
+    Attributes:
+        name: unique name of the process; also the name of its VM.
+        role: which role plug-in runs.
+        domain: failure domain of the VM.
+        admin_address: HTTP listener for metrics, health and announcements.
+        log_level: lowest level that is logged.
+    """
+
+    name: str
+    role: str
+    domain: str
+    admin_address: Address | None
+    log_level: str
+
+
+@attrs.frozen(kw_only=True)
+class ControllerSettings:
+    """Section [controller].
+
+    Attributes:
+        address: listener for replicas, subscribers and operators.
+        data_folder: folder of all durable state.
+        snapshot_records: log records after which a snapshot is written.
+        election_timeout_ms: shortest silence of a leader before an election.
+        group_commit: whether proposals that arrive together share one sync.
+    """
+
+    address: Address
+    data_folder: Path
+    snapshot_records: int
+    election_timeout_ms: int
+    group_commit: bool
+
+
+@attrs.frozen(kw_only=True)
+class BalancerSettings:
+    """Section [balancer].
+
+    Attributes:
+        packet_address: UDP listener for encapsulated packets of the fabric.
+        request_address: HTTP listener for callers' requests.
+        max_connections: the most callers' connections at once.
+        policy: candidate policy plug-in for requests.
+    """
+
+    packet_address: Address
+    request_address: Address
+    max_connections: int
+    policy: str
+
+
+@attrs.frozen(kw_only=True)
+class AgentSettings:
+    """Section [agent].
+
+    Attributes:
+        data_address: UDP listener for packets from balancers and agents.
+        stream_address: TCP listener for requests and for other agents.
+        fabric_address: UDP address that takes answers to callers.
+        delivery: delivery plug-in for packets to the target.
+        flow_idle_s: idle time in seconds after which a flow without a close is forgotten.
+    """
+
+    data_address: Address
+    stream_address: Address
+    fabric_address: Address
+    delivery: str
+    flow_idle_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one process.
+
+    Attributes:
+        file: where the settings came from.
+        process: section [process].
+        controllers: section [controllers], address by controller name.
+        cluster_key: key with which processes prove themselves.
+        operator_keys: section [operators], key by operator name (controllers only).
+        operator_key: the operator's own key (role operator only).
+        controller: present for role controller.
+        balancer: present for role balancer.
+        agent: present for role agent.
+    """
+
+    file: str
+    process: ProcessSettings
+    controllers: Mapping[str, Address]
+    cluster_key: bytes
+    operator_keys: Mapping[str, bytes]
+    operator_key: bytes
+    controller: ControllerSettings | None
+    balancer: BalancerSettings | None
+    agent: AgentSettings | None
+
+
+def load_settings(file: str) -> Settings:
+    """Read and check `file`; raises `SettingsError` on the first fault."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        with open(file, encoding="utf-8") as handle:
+            parser.read_file(handle)
+    except (OSError, UnicodeDecodeError) as exc:
+        text = error_texts.SETTINGS_UNREADABLE.format(file=file, cause=exc)
+        raise SettingsError(text) from exc
+    except configparser.Error as exc:
+        cause = str(exc).replace("\n", " ")
+        raise SettingsError(error_texts.SETTINGS_NOT_INI.format(file=file, cause=cause)) from exc
+    return _Reader(file=file, parser=parser).settings()
+
+
+def parse_address(text: str) -> Address:
+    """Parse IP:PORT; raises ValueError with a reason."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        raise ValueError(error_texts.NOT_AN_ADDRESS) from None
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(error_texts.NOT_AN_ADDRESS)
+    return Address(host=host, port=int(port))
+
+
+def parse_name(text: str) -> str:
+    """Check a name; raises ValueError with a reason."""
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(error_texts.NOT_A_NAME)
+    return text
+
+
+def _parse_key(text: str) -> bytes:
+    if len(text) < MIN_KEY_HEX_DIGITS:
+        raise ValueError(error_texts.NOT_A_KEY.format(length=MIN_KEY_HEX_DIGITS))
+    try:
+        return bytes.fromhex(text)
+    except ValueError:
+        reason = error_texts.NOT_A_KEY.format(length=MIN_KEY_HEX_DIGITS)
+        raise ValueError(reason) from None
+
+
+def _choice(choices: tuple[str, ...]) -> Callable[[str], str]:
+    def parse(text: str) -> str:
+        if text not in choices:
+            raise ValueError(error_texts.NOT_A_CHOICE.format(choices=", ".join(choices)))
+        return text
+
+    return parse
+
+
+def _integer(low: int, high: int) -> Callable[[str], int]:
+    def parse(text: str) -> int:
+        if not text.isdecimal() or not low <= int(text) <= high:
+            raise ValueError(error_texts.NOT_IN_RANGE.format(low=low, high=high))
+        return int(text)
+
+    return parse
+
+
+def _seconds(low: float, high: float) -> Callable[[str], float]:
+    def parse(text: str) -> float:
+        try:
+            value = float(text)
+        except ValueError:
+            value = float("nan")
+        if not low <= value <= high:
+            raise ValueError(error_texts.NOT_IN_RANGE.format(low=low, high=high))
+        return value
+
+    return parse
+
+
+def _switch(text: str) -> bool:
+    choices = ("yes", "no")
+    return _choice(choices)(text) == "yes"
+
+
+@attrs.define(kw_only=True)
+class _Reader:
+    """Turns a parsed INI file into `Settings`."""
+
+    file: str
+    parser: configparser.ConfigParser
+    _seen: dict[str, set[str]] = attrs.field(factory=dict)
+
+    def settings(self) -> Settings:
+        process = self._process()
+        settings = Settings(
+            file=self.file,
+            process=process,
+            controllers=self._named("controllers", parse_address),
+            cluster_key=self._cluster_key(process.role),
+            operator_keys=self._operator_keys(process.role),
+            operator_key=self._operator_key(process.role),
+            controller=self._controller() if process.role == "controller" else None,
+            balancer=self._balancer() if process.role == "balancer" else None,
+            agent=self._agent() if process.role == "agent" else None,
+        )
+        self._refuse_unknown()
+        return settings
+
+    def _process(self) -> ProcessSettings:
+        role = self._value("process", "role", _choice(ROLES))
+        has_admin = role != "operator"
+        return ProcessSettings(
+            name=self._value("process", "name", parse_name),
+            role=role,
+            domain=self._value("process", "domain", parse_name, default="none"),
+            admin_address=(
+                self._value("process", "admin_address", parse_address) if has_admin else None
+            ),
+            log_level=self._value("process", "log_level", _choice(LOG_LEVELS), default="INFO"),
+        )
+
+    def _cluster_key(self, role: str) -> bytes:
+        if role == "operator":
+            return b""
+        return self._value("keys", "cluster", _parse_key)
+
+    def _operator_key(self, role: str) -> bytes:
+        if role != "operator":
+            return b""
+        return self._value("keys", "operator", _parse_key)
+
+    def _operator_keys(self, role: str) -> Mapping[str, bytes]:
+        if role != "controller":
+            return {}
+        return self._named("operators", _parse_key)
+
+    def _controller(self) -> ControllerSettings:
+        section = "controller"
+        return ControllerSettings(
+            address=self._value(section, "address", parse_address),
+            data_folder=Path(self._value(section, "data_folder", str)),
+            snapshot_records=self._value(
+                section, "snapshot_records", _integer(10, 1_000_000), default="2000"
+            ),
+            election_timeout_ms=self._value(
+                section, "election_timeout_ms", _integer(50, 60_000), default="600"
+            ),
+            group_commit=self._value(section, "group_commit", _switch, default="yes"),
+        )
+
+    def _balancer(self) -> BalancerSettings:
+        section = "balancer"
+        return BalancerSettings(
+            packet_address=self._value(section, "packet_address", parse_address),
+            request_address=self._value(section, "request_address", parse_address),
+            max_connections=self._value(
+                section, "max_connections", _integer(1, 100_000), default="512"
+            ),
+            policy=self._value(section, "policy", parse_name, default="two-choices"),
+        )
+
+    def _agent(self) -> AgentSettings:
+        section = "agent"
+        return AgentSettings(
+            data_address=self._value(section, "data_address", parse_address),
+            stream_address=self._value(section, "stream_address", parse_address),
+            fabric_address=self._value(section, "fabric_address", parse_address),
+            delivery=self._value(section, "delivery", parse_name, default="udp"),
+            flow_idle_s=self._value(
+                section, "flow_idle_s", _seconds(0.1, 604_800.0), default="14400"
+            ),
+        )
+
+    def _value(
+        self, section: str, key: str, parse: Callable[[str], T], default: str | None = None
+    ) -> T:
+        if not self.parser.has_section(section):
+            raise SettingsError(error_texts.SECTION_MISSING.format(file=self.file, section=section))
+        self._seen.setdefault(section, set()).add(key)
+        text = self.parser.get(section, key, fallback=default)
+        if text is None:
+            raise SettingsError(
+                error_texts.KEY_MISSING.format(file=self.file, section=section, key=key)
+            )
+        return self._parsed(section, key, text.strip(), parse)
+
+    def _named(self, section: str, parse: Callable[[str], T]) -> Mapping[str, T]:
+        if not self.parser.has_section(section):
+            raise SettingsError(error_texts.SECTION_MISSING.format(file=self.file, section=section))
+        names = self.parser.options(section)
+        self._seen[section] = set(names)
+        for name in names:
+            self._parsed(section, name, name, parse_name)
+        return {
+            name: self._parsed(section, name, self.parser.get(section, name).strip(), parse)
+            for name in names
+        }
+
+    def _parsed(self, section: str, key: str, text: str, parse: Callable[[str], T]) -> T:
+        try:
+            return parse(text)
+        except ValueError as exc:
+            raise SettingsError(
+                error_texts.KEY_INVALID.format(
+                    file=self.file, section=section, key=key, value=text, cause=exc
+                )
+            ) from exc
+
+    def _refuse_unknown(self) -> None:
+        for section in self.parser.sections():
+            if section not in self._seen:
+                known = ", ".join(sorted(self._seen))
+                raise SettingsError(
+                    error_texts.SECTION_UNKNOWN.format(file=self.file, section=section, known=known)
+                )
+            self._refuse_unknown_keys(section)
+
+    def _refuse_unknown_keys(self, section: str) -> None:
+        seen = self._seen[section]
+        for key in self.parser.options(section):
+            if key not in seen:
+                known = ", ".join(sorted(seen))
+                raise SettingsError(
+                    error_texts.KEY_UNKNOWN.format(
+                        file=self.file, section=section, key=key, known=known
+                    )
+                )
