--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,48 @@
+"""Set-up and clean-up of scenarios: every process and thread that one starts ends with it."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import shutil
+import sys
+from pathlib import Path
+
+from hypothesis import settings
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+settings.register_profile("deterministic", derandomize=True, deadline=None, database=None)
+settings.load_profile("deterministic")
+
+FIRST_NETWORK = 100
+NETWORKS = 100
+
+scenario_numbers = itertools.count(1)
+
+
+def before_all(context):
+    """Choose a network prefix of its own for this run."""
+    context.work_folder = Path("run") / f"features-{os.getpid()}"
+
+
+def before_scenario(context, scenario):
+    """Start with nothing running."""
+    context.closers = []
+    number = next(scenario_numbers)
+    context.prefix = f"127.{FIRST_NETWORK + (os.getpid() + number) % NETWORKS}"
+    context.folder = context.work_folder / f"scenario-{number}"
+
+
+def after_scenario(context, scenario):
+    """End all that the scenario has started."""
+    for closer in reversed(context.closers):
+        closer()
+    if scenario.status.name == "passed":
+        shutil.rmtree(context.folder, ignore_errors=True)
+
+
+def after_all(context):
+    """Remove the working folder if nothing was kept in it."""
+    if context.work_folder.exists() and not any(context.work_folder.iterdir()):
+        shutil.rmtree(context.work_folder)
--- /dev/null
+++ b/features/properties/__init__.py
@@ -0,0 +1,26 @@
+"""Properties checked by hypothesis, by name; each module enters its own."""
+
+from __future__ import annotations
+
+import importlib
+
+PROPERTIES = {}
+
+MODULES = ("packets", "catalogue", "flows", "requests", "consensus")
+
+
+def prop(name):
+    """Enter a property under a name."""
+
+    def enter(check):
+        PROPERTIES[name] = check
+        return check
+
+    return enter
+
+
+def find(name):
+    """Return a property."""
+    for module in MODULES:
+        importlib.import_module(f"properties.{module}")
+    return PROPERTIES[name]
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -38,8 +38,8 @@
                 self._lost_since.pop(name, None)
             elif name not in self._lost_since:
                 self._lost_since[name] = now
-        for name in self._complete.keys() - new.peers.keys():
-            del self._complete[name]
+        for name in old.peers.keys() - new.peers.keys():
+            self._complete.pop(name, None)
 
     def confirm(self, peer: str, version: int) -> None:
         """Note that a peer has registered all its flows as of `version`."""
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -66,6 +66,7 @@
     TCP_FIN,
     TCP_RST,
     build_answer,
+    build_first_bytes,
     build_refusal,
     build_reset,
     check_packet,
@@ -516,8 +517,7 @@
             self._cold_since = now
         for flow in self.flows:
             if new.domain_out:
-                self._end(flow)
-                self.counts.ended_domain_out += 1
+                self._give_up(flow)
             elif restarted:
                 self._end(flow)
                 self.counts.ended_target_gone += 1
@@ -525,6 +525,19 @@
                 self._end(flow)
                 self.counts.ended_entry_gone += 1
 
+    def _give_up(self, flow: Flow) -> None:
+        """End a flow of a failure domain that is out and tell its caller at once.
+
+        Its home keeps the record and refuses a packet that comes later, so that the caller
+        learns why even if this message is lost.
+        """
+        self._unwatch(flow)
+        self.flows.remove(flow)
+        flow.channel.close()
+        self.counts.ended_domain_out += 1
+        packet = build_first_bytes(flow.key)
+        self._refuse(packet, self._system(Cause.DOMAIN_OUT, flow.entry_id))
+
     def _forget_former_runs(self, old: FlowView, new: FlowView) -> None:
         for name, peer in new.peers.items():
             before = old.peers.get(name)
@@ -536,7 +549,7 @@
             if not known.registered:
                 continue
             candidates = view.table.candidates[bucket_of(key)]
-            if self._name in candidates[:2]:
+            if self._name in candidates[:2] and known.owner not in view.out:
                 known.expires = float("inf")
             elif known.expires == float("inf"):
                 known.expires = now + FORMER_HOME_LIFE_S
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -48,7 +48,8 @@
 
 ANSWER_POLL_S: Final = 0.1
 CREDIT_STEP_CHUNKS: Final = 4
-MAX_ATTEMPTS: Final = 4
+MAX_ATTEMPTS: Final = 6
+RETRY_PAUSE_S: Final = 0.02
 MAX_KEY_BYTES: Final = 128
 MAX_TIMEOUT_MS: Final = 24 * 3600 * 1000
 MS_PER_S: Final = 1000.0
@@ -219,6 +220,7 @@
             if not self._may_retry(work, refusal, time.monotonic()):
                 break
             self.counts.retries += 1
+            time.sleep(RETRY_PAUSE_S * 2**attempt)
         raise RequestRefusedError(refusal)
 
     def _candidates(self, work: Work, attempt: int) -> list[Target]:
--- a/lentilcourse/packets.py
+++ b/lentilcourse/packets.py
@@ -127,6 +127,14 @@
     return build_ip(source, destination, PROTOCOL_UDP, segment)
 
 
+def build_first_bytes(key: bytes) -> bytes:
+    """Return an empty packet of a flow, to be quoted in a refusal."""
+    if key[12] == PROTOCOL_UDP:
+        return build_udp(key[0:4], key[4:8], key[8:12], b"")
+    segment = key[8:12] + bytes(8) + bytes((TCP_HEADER_BYTES // 4 << 4, TCP_ACK)) + bytes(6)
+    return build_ip(key[0:4], key[4:8], PROTOCOL_TCP, segment)
+
+
 def build_answer(key: bytes, payload: bytes) -> bytes:
     """Return a UDP packet in the direction opposite to a flow key."""
     return build_udp(key[4:8], key[0:4], key[10:12] + key[8:10], payload)
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -298,6 +298,11 @@
             for stream in self._open_streams():
                 stream.send_heartbeat_if_idle(now)
 
+    def close_all(self) -> None:
+        """Close every open stream, so that the tasks that read them end."""
+        for stream in self._open_streams():
+            stream.close()
+
     def _open_streams(self) -> list[Stream]:
         with self._lock:
             for stream in [each for each in self._streams if each.closed]:
@@ -310,6 +315,7 @@
 
 def start_heartbeats(lifecycle: Lifecycle) -> None:
     """Start the heartbeat task of this process."""
+    lifecycle.on_close(_heartbeats.close_all)
     pool = lifecycle.pool(name="heartbeat", limit=1)
     pool.submit(lambda: _heartbeats.run(lifecycle))
 
