--- /dev/null
+++ b/features/properties/consensus.py
@@ -0,0 +1,457 @@
+"""Properties of the replicated log under loss, reordering, duplication, restarts and damage."""
+
+from __future__ import annotations
+
+import random
+import shutil
+import tempfile
+import zlib
+from pathlib import Path
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from lentilcourse.changes import Change, PutEntry
+from lentilcourse.controller.files import RECORD_HEADER, RecordFile, scan_records
+from lentilcourse.controller.log_store import LogStore
+from lentilcourse.controller.machine import CatalogueMachine
+from lentilcourse.controller.replica import Replica, Role, committed_index, quorum_size
+from lentilcourse.errors import ChangeRefusedError, NotLeaderError, StorageError
+from lentilcourse.messages import AppendReply, Member, Membership, VoteReply, VoteRequest
+from properties import prop
+
+TIMEOUT_S = 1.0
+NAMES = ("a", "b", "c")
+ROUNDS = 6
+MAX_IN_FLIGHT = 60
+
+
+@attrs.frozen(kw_only=True)
+class Envelope:
+    """One message in flight; `reply` is None on the way there."""
+
+    source: str
+    destination: str
+    req: object
+    reply: object
+    sent: float
+
+
+class GroupMachine(RuleBasedStateMachine):
+    """Three controllers on real data folders and a network that does what it likes."""
+
+    def __init__(self):
+        super().__init__()
+        self.root = Path(tempfile.mkdtemp(prefix="lentilcourse-"))
+        self.now = 100.0
+        self.net = []
+        self.replicas = {}
+        self.folders = {}
+        self.stores = {}
+        self.sequence = 0
+        self.committed = {}
+        self.leaders = {}
+        self.accepted = {}
+        self.sent = []
+        self.highest = 0
+        for name in NAMES:
+            self.folders[name] = self.root / f"{name}-0"
+            self.start(name)
+        membership = Membership(
+            members=tuple(
+                Member(
+                    replica_id=self.replicas[name].replica_id,
+                    name=name,
+                    address="127.0.0.1:1",
+                    voter=True,
+                )
+                for name in NAMES
+            )
+        )
+        for name in NAMES:
+            self.replicas[name].bootstrap(membership)
+        self.elect("a", None)
+
+    def teardown(self):
+        for store in self.stores.values():
+            store.close()
+        shutil.rmtree(self.root)
+
+    def start(self, name):
+        if name in self.stores:
+            self.stores[name].close()
+        self.stores[name] = LogStore(folder=self.folders[name], name=name)
+        self.replicas[name] = Replica(
+            store=self.stores[name],
+            machine=CatalogueMachine(),
+            election_timeout_s=TIMEOUT_S,
+            snapshot_records=6,
+            group_commit=True,
+            rng=random.Random(f"{name}{self.sequence}"),
+            now=self.now,
+        )
+
+    def by_id(self, replica_id):
+        return next((r for r in self.replicas.values() if r.replica_id == replica_id), None)
+
+    def send_due(self):
+        for replica in self.replicas.values():
+            for member in replica.membership().members:
+                req = replica.next_request(member.replica_id, self.now)
+                if req is not None:
+                    self.net.append(
+                        Envelope(
+                            source=replica.replica_id,
+                            destination=member.replica_id,
+                            req=req,
+                            reply=None,
+                            sent=self.now,
+                        )
+                    )
+        del self.net[:-MAX_IN_FLIGHT]
+
+    def deliver(self, envelope):
+        receiver = self.by_id(envelope.destination)
+        if receiver is None:
+            return
+        if envelope.reply is None:
+            reply = self.answer(receiver, envelope.req)
+            back = attrs.evolve(
+                envelope, source=envelope.destination, destination=envelope.source, reply=reply
+            )
+            self.net.append(back)
+        elif isinstance(envelope.reply, VoteReply):
+            receiver.on_vote_reply(envelope.source, envelope.req, envelope.reply, self.now)
+        elif isinstance(envelope.reply, AppendReply):
+            receiver.on_append_reply(
+                envelope.source, envelope.req, envelope.reply, envelope.sent, self.now
+            )
+        self.note()
+
+    def answer(self, receiver, req):
+        if isinstance(req, VoteRequest):
+            return receiver.on_vote_request(req, self.now)
+        if hasattr(req, "entries"):
+            return receiver.on_append_request(req, self.now)
+        return receiver.on_install_request(req, self.now)
+
+    def note(self):
+        """Record what is committed and who leads, and refuse any contradiction."""
+        for name, replica in self.replicas.items():
+            store = self.stores[name]
+            first = store.snapshot.last_index + 1
+            for entry in store.entries_from(first, replica.commit_index - first + 1):
+                text = (entry.term, entry.change and entry.change.change_id)
+                assert self.committed.setdefault(entry.index, text) == text, entry.index
+            if replica.role is Role.LEADER:
+                leader = self.leaders.setdefault(replica.term, replica.replica_id)
+                assert leader == replica.replica_id, replica.term
+
+    @rule(name=st.sampled_from(NAMES))
+    def expire(self, name):
+        """Let the election timeout of one replica pass."""
+        self.now += 2.1 * TIMEOUT_S
+        self.replicas[name].tick(self.now)
+        self.send_due()
+
+    @rule(seconds=st.sampled_from((0.05, 0.2, 1.5)))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for replica in self.replicas.values():
+            replica.tick(self.now)
+        self.send_due()
+
+    @rule(index=st.integers(0, MAX_IN_FLIGHT), fate=st.sampled_from(("once", "twice", "lost")))
+    def deliver_one(self, index, fate):
+        """Deliver any message in flight, out of order."""
+        if not self.net:
+            return
+        envelope = self.net[index % len(self.net)]
+        if fate != "twice":
+            self.net.remove(envelope)
+        if fate != "lost":
+            self.deliver(envelope)
+
+    @rule(cut=st.sampled_from((None, *NAMES)))
+    def settle(self, cut):
+        """Deliver all that is in flight, and its answers; one replica may be cut off."""
+        cut_id = self.replicas[cut].replica_id if cut else None
+        for _ in range(ROUNDS):
+            self.now += 0.2
+            self.send_due()
+            flying, self.net = self.net, []
+            for envelope in flying:
+                if cut_id not in (envelope.source, envelope.destination):
+                    self.deliver(envelope)
+            for replica in self.replicas.values():
+                replica.write_proposals(self.now)
+
+    @rule(name=st.sampled_from(NAMES), cut=st.sampled_from((None, None, *NAMES)))
+    def elect(self, name, cut):
+        """Let one replica campaign while all but one hear it."""
+        self.expire(name)
+        self.settle(cut)
+
+    @rule(count=st.integers(1, 4), cut=st.sampled_from((None, None, *NAMES)), wait=st.booleans())
+    def propose(self, count, cut, wait):
+        """Propose changes wherever somebody believes to lead."""
+        for replica in list(self.replicas.values()):
+            if replica.role is Role.LEADER:
+                for _ in range(count):
+                    self.propose_at(replica)
+        if wait:
+            self.settle(cut)
+
+    def propose_at(self, replica):
+        self.sequence += 1
+        change = Change(
+            change_id=f"change-{self.sequence}",
+            operator="operator-1",
+            source="127.0.0.1",
+            at_ms=0,
+            edit_version=0,
+            action=PutEntry(
+                name=f"entry-{self.sequence}",
+                service="s",
+                owner="o",
+                traffic_class="bulk",
+                protocol="udp",
+                address=f"10.0.0.1:{1000 + self.sequence}",
+            ),
+        )
+        fut = replica.propose(change)
+        self.accepted[change.change_id] = fut
+        self.sent.append(change)
+        replica.write_proposals(self.now)
+        self.send_due()
+
+    @rule(index=st.integers(0, 30))
+    def resend(self, index):
+        """Send an earlier change again; its first outcome must come back."""
+        if not self.sent:
+            return
+        change = self.sent[index % len(self.sent)]
+        for replica in list(self.replicas.values()):
+            if replica.role is Role.LEADER:
+                fut = replica.propose(change)
+                replica.write_proposals(self.now)
+                self.settle(None)
+                first = self.accepted[change.change_id]
+                if fut.done() and fut.exception() is None and first.done():
+                    assert first.exception() is not None or first.result() == fut.result()
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        self.start(name)
+
+    @rule(name=st.sampled_from(NAMES), cut=st.integers(1, 400))
+    def tear_log(self, name, cut):
+        """Lose the last bytes of a log that was synced, if the others still hold everything."""
+        if any(self.is_impaired(other) for other in NAMES):
+            return
+        path = self.folders[name] / "log"
+        raw = path.read_bytes()
+        if len(raw) > cut:
+            self.stores[name].close()
+            path.write_bytes(raw[:-cut])
+            del self.stores[name]
+            self.start(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def lose_folder(self, name):
+        """Lose a whole data folder, if the others still hold everything."""
+        if any(self.is_impaired(other) for other in NAMES):
+            return
+        self.sequence += 1
+        self.folders[name] = self.root / f"{name}-{self.sequence}"
+        self.start(name)
+
+    def is_impaired(self, name):
+        replica = self.replicas[name]
+        own = replica.membership().find(replica.replica_id)
+        return replica.damaged or own is None or not own.voter
+
+    @rule(name=st.sampled_from(NAMES))
+    def repair(self, name):
+        """Take the next step of an operator's repair, at whoever leads."""
+        leader = next((r for r in self.replicas.values() if r.role is Role.LEADER), None)
+        if leader is None or self.replicas[name] is leader:
+            return
+        own = self.replicas[name].replica_id
+        members = leader.membership().members
+        stale = [each for each in members if each.name == name and each.replica_id != own]
+        known = leader.membership().find(own)
+        fresh = Member(replica_id=own, name=name, address="127.0.0.1:1", voter=False)
+        step = ("remove", stale[0]) if stale else ("add", fresh)
+        if known is not None:
+            step = ("promote", known)
+        try:
+            leader.propose_membership(*step, self.now)
+        except (ChangeRefusedError, NotLeaderError):
+            return
+        leader.write_proposals(self.now)
+
+    @invariant()
+    def accepted_changes_stay(self):
+        """The replica that has applied most holds the outcome of each accepted change."""
+        self.note()
+        newest = max(self.replicas.values(), key=lambda replica: replica.commit_index)
+        self.highest = max(self.highest, newest.commit_index)
+        if newest.commit_index < self.highest:
+            return
+        for change_id, fut in self.accepted.items():
+            if fut.done() and fut.exception() is None:
+                assert newest.machine.outcome_of(change_id) == fut.result(), change_id
+
+    @invariant()
+    def versions_agree(self):
+        """Two replicas at one applied index have one state."""
+        states = {}
+        for replica in self.replicas.values():
+            state = replica.machine.state
+            assert states.setdefault(state.version, state) == state
+
+
+@prop("consensus.log_never_reverts")
+def check_group():
+    """Committed entries never change, one leader a term, accepted changes stay."""
+    run_state_machine_as_test(
+        GroupMachine, settings=settings(max_examples=80, stateful_step_count=60)
+    )
+
+
+@prop("consensus.quorum")
+@given(st.lists(st.integers(0, 20), min_size=1, max_size=9))
+def check_quorum(matches):
+    """The committed index is held by a quorum, and no higher one is."""
+    index = committed_index(matches)
+    size = quorum_size(len(matches))
+    assert sum(match >= index for match in matches) >= size
+    assert sum(match > index for match in matches) < size
+
+
+@prop("storage.scan")
+@given(st.lists(st.binary(max_size=40), max_size=6), st.integers(0, 300), st.integers(0, 7))
+def check_scan(payloads, position, bit):
+    """A flipped bit or a torn end never yields a record that was not written."""
+    raw = b"".join(RECORD_HEADER.pack(len(p), zlib.crc32(p)) + p for p in payloads)
+    whole = scan_records(raw)
+    assert list(whole.payloads) == payloads and not whole.damage
+    torn = scan_records(raw[:position])
+    assert list(torn.payloads) == payloads[: len(torn.payloads)]
+    assert bool(torn.damage) == (torn.end != min(position, len(raw)))
+    if raw:
+        flipped = bytearray(raw)
+        flipped[position % len(raw)] ^= 1 << bit
+        read = scan_records(bytes(flipped))
+        assert list(read.payloads) == payloads[: len(read.payloads)] and read.damage
+
+
+@prop("storage.full_disk")
+@given(st.lists(st.binary(min_size=1, max_size=30), min_size=1, max_size=5))
+def check_full_disk(payloads):
+    """An append that fails half-way leaves the file as it was, and the next one works."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "log"
+        file = RecordFile(path=path)
+        file.append(payloads)
+        before = path.read_bytes()
+        sync = file._sync
+        failures = [OSError(28, "No space left on device")]
+
+        def fail_once():
+            if failures:
+                raise failures.pop()
+            sync()
+
+        file._sync = fail_once
+        try:
+            file.append(payloads)
+        except StorageError:
+            pass
+        else:
+            raise AssertionError("the failure was not reported")
+        assert path.read_bytes() == before
+        file.append(payloads)
+        file.close()
+        again = RecordFile(path=path)
+        assert list(again.take_payloads()) == payloads * 2 and not again.damage
+        again.close()
+
+
+def group():
+    """Return a settled group whose leader is "a"."""
+    machine = GroupMachine()
+    assert machine.replicas["a"].role is Role.LEADER
+    return machine
+
+
+@prop("consensus.torn_log_never_votes")
+def check_torn_log():
+    """A replica that lost synced entries does not help to elect one that never had them."""
+    machine = group()
+    machine.propose(count=2, cut="c", wait=True)
+    assert machine.stores["b"].last_index > machine.stores["c"].last_index
+    machine.tear_log("b", 150)
+    machine.net.clear()
+    machine.now += 10
+    for _ in range(5):
+        machine.replicas["c"].tick(machine.now)
+        machine.settle("a")
+        machine.now += 10
+    assert machine.replicas["c"].role is not Role.LEADER
+    machine.elect("a", None)
+    machine.elect("a", None)
+    machine.settle(None)
+    machine.accepted_changes_stay()
+    assert machine.replicas["a"].role is Role.LEADER
+    assert not machine.replicas["b"].damaged
+    machine.teardown()
+
+
+@prop("consensus.second_loss_after_repair")
+def check_second_loss():
+    """Nothing is lost when a second folder goes right after the first was repaired."""
+    machine = group()
+    machine.propose(count=3, cut=None, wait=True)
+    machine.lose_folder("b")
+    for _ in range(6):
+        machine.repair("b")
+        machine.settle(None)
+    assert not machine.is_impaired("b")
+    machine.lose_folder("a")
+    machine.elect("c", None)
+    machine.accepted_changes_stay()
+    held = machine.replicas["c"].machine.state.entries
+    assert set(held) == {"entry-1", "entry-2", "entry-3"}, held
+    machine.teardown()
+
+
+@prop("consensus.silent_leader_steps_down")
+def check_silent_leader():
+    """A leader that hears no quorum for an election timeout leads no more."""
+    machine = group()
+    replica = machine.replicas["a"]
+    replica.tick(machine.now + 1.1 * TIMEOUT_S)
+    assert replica.role is Role.FOLLOWER
+    machine.teardown()
+
+
+@prop("consensus.return_needs_no_election")
+def check_return():
+    """A replica that was cut off for long does not depose the leader when it returns."""
+    machine = group()
+    for _ in range(10):
+        machine.now += 2.1 * TIMEOUT_S
+        machine.replicas["b"].tick(machine.now)
+        machine.settle("b")
+    term = machine.replicas["a"].term
+    if machine.replicas["a"].role is not Role.LEADER:
+        machine.elect("a", "b")
+        term = machine.replicas["a"].term
+    machine.settle(None)
+    machine.settle(None)
+    assert machine.replicas["a"].role is Role.LEADER and machine.replicas["a"].term == term
+    machine.teardown()
