Divide owners' limits into replicated shares and spread state sideways

Cause: an even division of a limit by the local count of targets lets two versions of the state exceed it; a process that no controller reaches kept its last state. Ruled out: shares moved between agents without the log (a crash loses count). Change: shares are replicated and lowered in two steps; a process without a controller follows an agent's copy. Controllers are reached by the address in the own settings, so that links can be cut in tests.

--- /dev/null
+++ b/features/control.feature
@@ -0,0 +1,125 @@
+Feature: A catalogue that never reverts
+
+  Scenario Outline: Properties of the deciding functions
+    Then the property "<property>" holds
+
+    Examples:
+      | property                              |
+      | consensus.log_never_reverts           |
+      | consensus.quorum                      |
+      | consensus.torn_log_never_votes        |
+      | consensus.second_loss_after_repair    |
+      | consensus.silent_leader_steps_down    |
+      | consensus.return_needs_no_election    |
+      | storage.scan                          |
+      | storage.full_disk                     |
+      | catalogue.applied_whole_or_not_at_all |
+      | catalogue.one_of_two_racers_wins      |
+      | catalogue.resend_returns_first_outcome |
+      | catalogue.delta_or_snapshot_agree     |
+      | subscription.never_steps_back         |
+      | leases.lost_only_after_silence        |
+      | messages.round_trip                   |
+      | messages.foreign_values               |
+
+  Scenario Outline: Changes survive a leader that is "<fault>"
+    Given a control deployment
+    When 10 changes are accepted
+    And the leader is "<fault>"
+    And 10 changes are accepted
+    And the fault ends
+    And 5 changes are accepted
+    Then all accepted changes are in force in every process
+    And every controller holds all accepted changes
+
+    Examples:
+      | fault            |
+      | killed           |
+      | frozen           |
+      | cut off          |
+      | cut off one way  |
+      | unable to answer |
+
+  Scenario: A controller that was cut off causes no election when it returns
+    Given a control deployment
+    When a follower is "cut off" for 5 seconds
+    Then the leader and its term are as before
+    And all accepted changes are in force in every process
+
+  Scenario: Subscribers leave a controller that is cut off from the others
+    Given a control deployment
+    When a controller with subscribers is cut off from the other controllers
+    And 5 changes are accepted
+    Then all accepted changes are in force in every process
+
+  Scenario: A lost data folder is repaired, and a second loss right after loses nothing
+    Given a control deployment
+    When 10 changes are accepted
+    And controller "controller-2" loses its data folder
+    Then "controller-2" is no voter
+    When the operator repairs "controller-2"
+    And controller "controller-1" loses its data folder
+    Then every voter holds all accepted changes
+    When the operator repairs "controller-1"
+    And 5 changes are accepted
+    Then every controller holds all accepted changes
+
+  Scenario Outline: A log that is "<damage>" is noticed and filled again
+    Given a control deployment
+    When 10 changes are accepted
+    And the log of a follower is "<damage>"
+    And 5 changes are accepted
+    Then every controller holds all accepted changes
+    And no controller is damaged any more
+
+    Examples:
+      | damage      |
+      | torn        |
+      | bit-flipped |
+
+  Scenario: Of two operators who edit one version exactly one wins
+    Given a control deployment
+    When two operators edit the same version 20 times at once
+    Then each time one was accepted and the other saw the version in force
+
+  Scenario: A resend returns the first outcome from any controller, after restart and snapshot
+    Given a control deployment with a snapshot every 10 records
+    When 15 changes are accepted
+    And all controllers are restarted
+    Then each change sent again to any controller returns its first outcome
+
+  Scenario: A process that hundreds of changes have passed by catches up
+    Given a control deployment with a snapshot every 50 records
+    When "balancer-1" is frozen while 300 changes are accepted
+    Then all accepted changes are in force in every process
+
+  Scenario: The group grows from one to three and shrinks again
+    Given a control deployment of one controller that others can join
+    When 3 changes are accepted
+    And the operator adds "controller-2" and "controller-3"
+    And 3 changes are accepted
+    Then every controller holds all accepted changes
+    When the operator removes "controller-1"
+    Then the change of members is refused when it would lose the quorum
+    And 3 changes are accepted again
+
+  Scenario: An unknown operator is refused and entered in the audit trail
+    Given a control deployment
+    When an operator with a wrong key sends a change
+    Then the change is refused and the audit trail tells of it
+
+  Scenario Outline: A wrong entry is refused whole with the field named
+    Given a control deployment
+    When the operator edits "price-board" setting "<field>" to "<value>"
+    Then the command ends with status 4 and names "<named>"
+    And the audit trail shows a refusal that names "<named>"
+    And entry "price-board" is as before
+
+    Examples:
+      | field           | value          | named      |
+      | open-flows      | -1             | open_flows |
+      | open-flows      | 99999999999    | open_flows |
+      | traffic-class   | gold           | class      |
+      | address         | 10.77.0.300:1  | address    |
+      | address         | 10.77.0.5:4000 | address    |
+      | owner           | no/such        | owner      |
--- a/features/deployments.py
+++ b/features/deployments.py
@@ -52,6 +52,15 @@
     ),
 )
 
+CONTROL = Shape(
+    name="control",
+    domains=("luzon-a", "luzon-b", "luzon-c"),
+    controllers=3,
+    balancers=1,
+    services=(ServiceShape(name="ordering", speeds=(1,), slots=3, connections=2000),),
+    entries=(SMALL.entries[0],),
+)
+
 
 class Deployment:
     """One running deployment with its callers."""
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -34,6 +34,7 @@
 )
 from lentilcourse.agent.flow_view import FlowView, build_view, empty_view
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
+from lentilcourse.agent.rate_window import RateWindow
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
 from lentilcourse.errors import PacketError, TargetFailedError
@@ -58,7 +59,7 @@
     RegisterFlows,
     RegistrationComplete,
 )
-from lentilcourse.model import Entry, State
+from lentilcourse.model import Entry, Limits, State
 from lentilcourse.packets import (
     ICMP_CODE_HOST_UNREACHABLE,
     ICMP_CODE_PROHIBITED,
@@ -160,6 +161,7 @@
         self._lock = threading.RLock()
         self._view = empty_view(name, 0)
         self._completeness = Completeness()
+        self._started = RateWindow()
         self._loads: dict[str, PeerLoad] = {}
         self._cold_since = float("-inf")
 
@@ -373,7 +375,7 @@
         self._hunt(key, entry, packet, known, now)
 
     def _accept_or_decline(self, key: bytes, entry: Entry, packet: bytes, now: float) -> Decline:
-        decline = decide_new_flow(self._admission_view(entry), now)
+        decline = decide_new_flow(self._admission_view(entry, now), now)
         if decline is not Decline.NONE:
             self.counts.declined += 1
             return decline
@@ -382,6 +384,7 @@
         ):
             return Decline.TARGET_GONE
         self.counts.accepted += 1
+        self._started.add(entry.entry_id, now)
         flow = self.flows.get(key)
         assert flow is not None
         self._register_with(self._view.recorder(bucket_of(key)), [flow.record(now)])
@@ -412,9 +415,11 @@
         self._watch(flow)
         return True
 
-    def _admission_view(self, entry: Entry) -> AdmissionView:
+    def _admission_view(self, entry: Entry, now: float) -> AdmissionView:
         last = self._monitor.last
         limits = entry.limits
+        share = self._view.shares.get(entry.entry_id, Limits())
+        started = self._started.count(entry.entry_id, now)
         return AdmissionView(
             health=self._monitor.health,
             draining=self._view.draining,
@@ -424,24 +429,40 @@
             connections=last.connections if last else 0,
             cold_since=self._cold_since,
             entry_flows=self.flows.count_of(entry.entry_id),
-            open_share=self._static_share(limits.open_flows),
-            rate_left=None,
+            open_share=share.open_flows if limits.open_flows else None,
+            rate_left=share.new_flows_per_s - started if limits.new_flows_per_s else None,
         )
 
-    def _static_share(self, limit: int) -> int | None:
-        if limit == 0:
-            return None
-        return limit // max(1, len(self._view.peers) + 1)
+    def usage(self, now: float) -> dict[int, Limits]:
+        """Return what is used of the limits of each limited entry, by entry id."""
+        with self._lock:
+            return {
+                entry.entry_id: Limits(
+                    open_flows=self.flows.count_of(entry.entry_id),
+                    new_flows_per_s=self._started.count(entry.entry_id, now),
+                )
+                for entry in self._view.entries.values()
+                if entry.limits != Limits()
+            }
 
     def _ranked(self, names: list[str], now: float) -> list[str]:
-        """Order candidates: the better of two random ones first, the rest by utilisation."""
+        """Order candidates: the home while it is not above the others, else the better of two.
+
+        A flow that its home owns costs one hop less for each packet.
+        """
         if len(names) < 2:
             return names
-        pair = self._rng.sample(names, 2)
+        if self._name in names and self._utilisation(self._name, now) <= self._mean(names, now):
+            pair = [self._name]
+        else:
+            pair = self._rng.sample(names, 2)
         first = min(pair, key=lambda name: self._utilisation(name, now))
         rest = [name for name in names if name != first]
         return [first, *sorted(rest, key=lambda name: self._utilisation(name, now))]
 
+    def _mean(self, names: list[str], now: float) -> float:
+        return sum(self._utilisation(name, now) for name in names) / len(names)
+
     def _utilisation(self, name: str, now: float) -> float:
         if name == self._name:
             return len(self.flows) / max(1, self._flow_limit(now))
--- a/lentilcourse/agent/flow_view.py
+++ b/lentilcourse/agent/flow_view.py
@@ -10,7 +10,7 @@
 import attrs
 
 from lentilcourse.buckets import EMPTY_TABLE, BucketTable, build_table, takes_new_work
-from lentilcourse.model import Entry, Protocol, State, Target, TargetState
+from lentilcourse.model import Entry, Limits, Protocol, State, Target, TargetState
 from lentilcourse.packets import PROTOCOL_TCP, PROTOCOL_UDP, make_service_key
 
 IP_PROTOCOLS: Final = {Protocol.UDP: PROTOCOL_UDP, Protocol.TCP: PROTOCOL_TCP}
@@ -30,6 +30,7 @@
         peers: all other targets of the own service by name.
         out: names of targets of the own service in failure domains that are out.
         by_address: target names by the agent's UDP address.
+        shares: the own share of limited entries by entry id.
     """
 
     version: int
@@ -41,6 +42,7 @@
     peers: dict[str, Target]
     out: frozenset[str]
     by_address: dict[tuple[str, int], str]
+    shares: dict[int, Limits]
 
     @property
     def domain_out(self) -> bool:
@@ -89,9 +91,19 @@
         peers={each.name: each for each in members if each.name != name},
         out=frozenset(each.name for each in members if state.domain_out(each.domain)),
         by_address={each.data_address.pair(): each.name for each in members},
+        shares=own_shares(state, own),
     )
 
 
+def own_shares(state: State, own: Target) -> dict[int, Limits]:
+    """Return the granted share of a target in each limited entry of its service."""
+    return {
+        share.entry_id: share.granted
+        for share in state.shares.values()
+        if share.target_id == own.target_id
+    }
+
+
 def empty_view(name: str, version: int) -> FlowView:
     """Return the view of an agent whose target has not joined."""
     return FlowView(
@@ -104,6 +116,7 @@
         peers={},
         out=frozenset(),
         by_address={},
+        shares={},
     )
 
 
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -35,7 +35,7 @@
     RequestCredit,
     RequestStart,
 )
-from lentilcourse.model import CLASS_RANK, Entry, State, TargetState
+from lentilcourse.model import CLASS_RANK, Entry, State, TargetState, share_name
 from lentilcourse.refusals import (
     RAN_NO,
     RAN_UNKNOWN,
@@ -288,16 +288,22 @@
         limit = entry.limits.requests_in_flight
         with self._lock:
             running = self._entry_running.get(entry.entry_id, 0)
-            if limit and running >= self._static_share(limit):
+            if limit and running >= self._share_of(entry):
                 return False
             self._entry_running[entry.entry_id] = running + 1
             return True
 
-    def _static_share(self, limit: int) -> int:
+    def _share_of(self, entry: Entry) -> int:
         state = self._copy.current
         own = state.targets.get(self._name)
-        peers = len(state.service_targets(own.service)) if own else 1
-        return limit // max(1, peers)
+        share = state.shares.get(share_name(entry.name, self._name))
+        if own is None or share is None or share.target_id != own.target_id:
+            return 0
+        return share.granted.requests_in_flight
+
+    def running_of(self, entry_id: int) -> int:
+        """Return the requests of an entry that run or wait here."""
+        return self._entry_running.get(entry_id, 0)
 
     def _leave_entry(self, entry: Entry) -> None:
         with self._lock:
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -6,13 +6,18 @@
 import time
 from typing import Final
 
+import attrs
+
 from lentilcourse.agent.delivery import DELIVERY_PLUGINS
 from lentilcourse.agent.flow_loop import TICK_S, FlowLoop
 from lentilcourse.agent.flow_plane import FlowPlane
 from lentilcourse.agent.peers import AgentPeers
 from lentilcourse.agent.request_plane import MAX_REQUEST_TASKS, RequestPlane
 from lentilcourse.agent.target import TargetMonitor
+from lentilcourse.feed import feed_subscriber
 from lentilcourse.messages import (
+    Announcement,
+    EntryUsage,
     FlowLoad,
     ForgetFlows,
     RecoveredFlows,
@@ -20,9 +25,10 @@
     RegisterFlows,
     RegistrationComplete,
     Report,
+    Subscribe,
 )
 from lentilcourse.metrics import Metrics
-from lentilcourse.model import State
+from lentilcourse.model import Limits, State
 from lentilcourse.refusals import RefusalCounts
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, Stream, StreamListener
@@ -91,11 +97,13 @@
             copy=self.copy,
             lifecycle=lifecycle,
             report=self._report,
-            announce=self.monitor.announcement,
+            announce=self._announcement,
+            rng=random.Random(),
         )
         self._former = State()
         self.copy.listen(self._on_state)
         self.monitor.add_routes(context.admin)
+        self.monitor.on_change = self.subscription.send_report
         lifecycle.on_drain(self._stop_taking)
         lifecycle.on_drain(self.requests.drain)
 
@@ -110,6 +118,9 @@
 
     def _serve(self, stream: Stream) -> None:
         first = stream.receive()
+        if isinstance(first, Subscribe):
+            feed_subscriber(stream, self.copy, first.version, self.lifecycle.stopped)
+            return
         if not isinstance(first, PEER_MESSAGES):
             self.requests.serve(stream, first)
             return
@@ -120,6 +131,25 @@
         finally:
             self.flows.on_peer_lost(stream.peer)
 
+    def _announcement(self) -> Announcement | None:
+        announcement = self.monitor.announcement()
+        if announcement is None:
+            return None
+        state = self.copy.current
+        flows = self.flows.usage(time.monotonic())
+        usage = tuple(
+            EntryUsage(
+                entry_id=entry.entry_id,
+                used=attrs.evolve(
+                    flows.get(entry.entry_id, Limits()),
+                    requests_in_flight=self.requests.running_of(entry.entry_id),
+                ),
+            )
+            for entry in state.entries.values()
+            if entry.service == announcement.service and entry.limits != Limits()
+        )
+        return attrs.evolve(announcement, version=state.version, usage=usage)
+
     def _on_state(self, state: State, now: float) -> None:
         self.flows.on_state(state, now)
         self.requests.on_state(self._former, state, now)
--- a/lentilcourse/agent/target.py
+++ b/lentilcourse/agent/target.py
@@ -13,6 +13,7 @@
 import socket
 import threading
 import time
+from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -90,7 +91,11 @@
 
 
 class TargetMonitor:
-    """Follows the announcements of the target."""
+    """Follows the announcements of the target.
+
+    Attributes:
+        on_change: called after each change of health.
+    """
 
     def __init__(self, *, name: str, domain: str, cfg: AgentSettings, lifecycle: Lifecycle) -> None:
         self._name = name
@@ -101,6 +106,7 @@
         self._last: TargetAnnouncement | None = None
         self._received = float("-inf")
         self._health = TargetHealth.UNKNOWN
+        self.on_change: Callable[[], None] = lambda: None
 
     @property
     def last(self) -> TargetAnnouncement | None:
@@ -168,6 +174,7 @@
         if health is not self._health:
             _log.info("target_health", before=self._health.value, after=health.value)
             self._health = health
+            self.on_change()
 
 
 def _health_of(announcement: TargetAnnouncement) -> TargetHealth:
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 import socket
 import time
 from typing import Final
@@ -36,6 +37,7 @@
 from lentilcourse.refusals import (
     RAN_NO,
     RAN_UNKNOWN,
+    REASON_OWNER_LIMIT,
     Cause,
     RefusalCounts,
     http_body,
@@ -123,6 +125,11 @@
     repeatable: bool
     deadline: float
 
+    @property
+    def keyed(self) -> bool:
+        """Whether the key's home alone may run it."""
+        return bool(self.key) and not self.repeatable
+
 
 class RequestPath:
     """Serves callers' connections."""
@@ -208,32 +215,46 @@
 
     def _run_work(self, conn: HttpServerConnection, work: Work) -> None:
         self._budget.add_request()
-        refusal = system_refusal(Cause.NO_TARGET, RAN_NO, work.entry.name)
-        for attempt in range(MAX_ATTEMPTS):
-            targets = self._candidates(work, attempt)
-            if not targets:
+        refusals: list[Refusal] = []
+        tried: list[str] = []
+        limited: set[str] = set()
+        for attempt in itertools.count():
+            target = self._next_target(work, tried, limited)
+            if target is None:
                 break
-            attempted = self._attempt(conn, work, targets[0])
-            if attempted is None:
+            refusal = self._attempt(conn, work, target)
+            if refusal is None:
                 return
-            refusal = attempted
-            if not self._may_retry(work, refusal, time.monotonic()):
+            refusals.append(refusal)
+            if refusal.reason == REASON_OWNER_LIMIT:
+                limited.add(target.name)
+                continue
+            tried.append(target.name)
+            if not self._may_retry(work, refusal, attempt, time.monotonic()):
                 break
             self.counts.retries += 1
-            time.sleep(RETRY_PAUSE_S * 2**attempt)
-        raise RequestRefusedError(refusal)
+            time.sleep(RETRY_PAUSE_S * 2 ** len(tried))
+        raise RequestRefusedError(final_refusal(refusals, work.entry.name))
+
+    def _next_target(self, work: Work, tried: list[str], limited: set[str]) -> Target | None:
+        """Return the best target whose share of the owner's limits is not known to be used up.
+
+        One that was not tried goes first.
+        """
+        candidates = [each for each in self._candidates(work) if each.name not in limited]
+        fresh = [each for each in candidates if each.name not in tried]
+        return next(iter(fresh or candidates), None)
 
-    def _candidates(self, work: Work, attempt: int) -> list[Target]:
+    def _candidates(self, work: Work) -> list[Target]:
         state = self._copy.current
-        if work.key and not work.repeatable:
+        if work.keyed:
             return key_homes(state, work.entry.service, work.key)
         targets = [
             target
             for target in state.service_targets(work.entry.service)
             if takes_new_work(target) and not state.domain_out(target.domain)
         ]
-        ordered = self._policy(targets, self._links, time.monotonic()) if targets else []
-        return ordered[attempt % len(ordered) :] if ordered else []
+        return self._policy(targets, self._links, time.monotonic()) if targets else []
 
     def _attempt(self, conn: HttpServerConnection, work: Work, target: Target) -> Refusal | None:
         try:
@@ -289,9 +310,10 @@
                 self.counts.cancelled += 1
                 raise CallerLeftError(work.entry.name)
 
-    def _may_retry(self, work: Work, refusal: Refusal, now: float) -> bool:
+    def _may_retry(self, work: Work, refusal: Refusal, attempt: int, now: float) -> bool:
         return (
-            may_repeat(work.repeatable, bool(work.key), refusal)
+            attempt + 1 < MAX_ATTEMPTS
+            and may_repeat(work.repeatable, work.keyed, refusal)
             and now < work.deadline
             and self._budget.take()
         )
@@ -309,6 +331,20 @@
             conn.respond(exc.status, headers, http_body(refusal))
 
 
+def final_refusal(refusals: list[Refusal], entry: str) -> Refusal:
+    """Return what the caller is told after all attempts were refused.
+
+    An owner's limit is named only if no target refused for a cause of the system. Work that
+    may have run in one attempt may have run.
+    """
+    system = [each for each in refusals if each.reason != REASON_OWNER_LIMIT]
+    unknown = [each for each in system if each.ran == RAN_UNKNOWN]
+    for group in (unknown, system, refusals):
+        if group:
+            return group[-1]
+    return system_refusal(Cause.NO_TARGET, RAN_NO, entry)
+
+
 def may_repeat(repeatable: bool, keyed: bool, refusal: Refusal) -> bool:
     """Return whether a refused attempt may be followed by another.
 
@@ -316,7 +352,7 @@
     may have run is tried again only if it may run twice, or if its key makes a second
     delivery harmless at the key's home.
     """
-    if refusal.reason != "system" or refusal.cause in FINAL_CAUSES:
+    if refusal.reason == REASON_OWNER_LIMIT or refusal.cause in FINAL_CAUSES:
         return False
     if refusal.ran == RAN_NO:
         return True
--- a/lentilcourse/balancer/role.py
+++ b/lentilcourse/balancer/role.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from lentilcourse.balancer.links import AgentLinks
 from lentilcourse.balancer.packet_path import PacketPath
 from lentilcourse.balancer.policies import POLICY_PLUGINS
@@ -50,6 +52,7 @@
         lifecycle=lifecycle,
         report=report,
         announce=lambda: None,
+        rng=random.Random(),
     )
     copy.listen(packets.on_state)
     lifecycle.on_drain(requests.drain)
--- a/lentilcourse/changes.py
+++ b/lentilcourse/changes.py
@@ -20,6 +20,7 @@
     DomainState,
     Entry,
     Limits,
+    LimitShare,
     Protocol,
     State,
     StateDelta,
@@ -34,6 +35,7 @@
 MAX_CONNECTIONS: Final = 10_000_000
 ANY_VERSION: Final = -1
 SYSTEM_OPERATOR: Final = "system"
+UNKNOWN_OPERATOR: Final = "unknown"
 
 
 @attrs.frozen(kw_only=True)
@@ -104,8 +106,33 @@
     incarnation: str
 
 
+@attrs.frozen(kw_only=True)
+class SetShares:
+    """Replace the shares of agents in the limits of the entry `name`."""
+
+    name: str
+    shares: tuple[LimitShare, ...]
+    removed: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class RefusedAccess:
+    """Changes nothing: enters a peer that did not prove a key in the audit trail."""
+
+    name: str
+    reason: str
+
+
 Action: TypeAlias = (
-    PutEntry | DeleteEntry | SetDomain | DrainTarget | JoinTarget | LoseTarget | RemoveTarget
+    PutEntry
+    | DeleteEntry
+    | SetDomain
+    | DrainTarget
+    | JoinTarget
+    | LoseTarget
+    | RemoveTarget
+    | SetShares
+    | RefusedAccess
 )
 
 
@@ -227,7 +254,12 @@
     if current is None:
         raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=action.name))
     _check_version(current.version, edit_version)
-    return StateDelta(version=state.version + 1, removed_entries=(action.name,))
+    shares = [name for name, share in state.shares.items() if share.entry_id == current.entry_id]
+    return StateDelta(
+        version=state.version + 1,
+        removed_entries=(action.name,),
+        removed_shares=tuple(sorted(shares)),
+    )
 
 
 @build_delta.register
@@ -300,6 +332,20 @@
     return StateDelta(version=state.version + 1, removed_targets=(current.name,))
 
 
+@build_delta.register
+def _set_shares(action: SetShares, state: State, edit_version: int) -> StateDelta:
+    if action.name not in state.entries:
+        raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=action.name))
+    version = state.version + 1
+    shares = tuple(attrs.evolve(share, version=version) for share in action.shares)
+    return StateDelta(version=version, shares=shares, removed_shares=action.removed)
+
+
+@build_delta.register
+def _refused_access(action: RefusedAccess, state: State, edit_version: int) -> StateDelta:
+    raise InvalidChangeError("key", action.reason)
+
+
 def _target_delta(state: State, target: Target) -> StateDelta:
     version = state.version + 1
     return StateDelta(version=version, targets=(attrs.evolve(target, version=version),))
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -9,16 +9,18 @@
 
 import threading
 import time
+from collections.abc import Mapping
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Final
 
 from lentilcourse import error_texts
 from lentilcourse.changes import Change, Outcome
 from lentilcourse.controller.replica import Replica, Role
+from lentilcourse.controller.replication import member_address
 from lentilcourse.errors import NotLeaderError, ProposalUnknownError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages import ChangeReply, ForwardAnnouncement, ForwardChange, Member
-from lentilcourse.options import parse_address
+from lentilcourse.options import Address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 PROPOSAL_TIMEOUT_S: Final = 3.0
@@ -28,8 +30,9 @@
 class LeaderClient:
     """One stream to the current leader, reopened when the leader changes."""
 
-    def __init__(self, *, identity: Identity) -> None:
+    def __init__(self, *, identity: Identity, controllers: Mapping[str, Address]) -> None:
         self._identity = identity
+        self._controllers = controllers
         self._lock = threading.Lock()
         self._stream: Stream | None = None
         self._leader_id = ""
@@ -51,7 +54,8 @@
             return stream
         if stream is not None:
             stream.close()
-        self._stream = connect_stream(parse_address(leader.address), self._identity)
+        address = member_address(leader, self._controllers)
+        self._stream = connect_stream(address, self._identity)
         self._leader_id = leader.replica_id
         return self._stream
 
@@ -59,10 +63,17 @@
 class Proposer:
     """Submits changes for operators, subscribers and leases."""
 
-    def __init__(self, *, replica: Replica, identity: Identity, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        identity: Identity,
+        controllers: Mapping[str, Address],
+        lifecycle: Lifecycle,
+    ) -> None:
         self._replica = replica
-        self._changes = LeaderClient(identity=identity)
-        self._announcements = LeaderClient(identity=identity)
+        self._changes = LeaderClient(identity=identity, controllers=controllers)
+        self._announcements = LeaderClient(identity=identity, controllers=controllers)
         self._lifecycle = lifecycle
 
     def submit(self, change: Change) -> Outcome:
--- a/lentilcourse/controller/replication.py
+++ b/lentilcourse/controller/replication.py
@@ -9,6 +9,7 @@
 
 import threading
 import time
+from collections.abc import Mapping
 from functools import singledispatch
 from typing import Final
 
@@ -25,7 +26,7 @@
     VoteReply,
     VoteRequest,
 )
-from lentilcourse.options import parse_address
+from lentilcourse.options import Address, parse_address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 TICK_S: Final = 0.02
@@ -39,9 +40,17 @@
 class ReplicaDriver:
     """Runs the tasks of one replica."""
 
-    def __init__(self, *, replica: Replica, identity: Identity, lifecycle: Lifecycle) -> None:
+    def __init__(
+        self,
+        *,
+        replica: Replica,
+        identity: Identity,
+        controllers: Mapping[str, Address],
+        lifecycle: Lifecycle,
+    ) -> None:
         self._replica = replica
         self._identity = identity
+        self._controllers = controllers
         self._lifecycle = lifecycle
         self._pool = lifecycle.pool(name="replica", limit=MAX_PEERS + 2)
         self._running: set[str] = set()
@@ -88,7 +97,7 @@
 
     def _serve_peer(self, member: Member) -> None:
         try:
-            stream = connect_stream(parse_address(member.address), self._identity)
+            stream = connect_stream(member_address(member, self._controllers), self._identity)
         except StreamError:
             self._replica.on_peer_lost(member.replica_id, time.monotonic())
             return
@@ -118,6 +127,11 @@
             return req
 
 
+def member_address(member: Member, controllers: Mapping[str, Address]) -> Address:
+    """Return where this VM reaches a member: as its settings say, else as the group says."""
+    return controllers.get(member.name) or parse_address(member.address)
+
+
 @singledispatch
 def handle_reply(req: object, reply: object, replica: Replica, peer_id: str, sent: float) -> None:
     """Feed a peer's reply to the replica, by the kind of request it answers."""
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import threading
 import time
@@ -14,11 +15,13 @@
 from lentilcourse.changes import (
     ANY_VERSION,
     SYSTEM_OPERATOR,
+    UNKNOWN_OPERATOR,
     Action,
     Change,
     DeleteEntry,
     DrainTarget,
     PutEntry,
+    RefusedAccess,
     SetDomain,
 )
 from lentilcourse.controller.leases import LeaseTable, due_actions
@@ -27,11 +30,8 @@
 from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
 from lentilcourse.controller.replica import MS_PER_S, Replica, Role
 from lentilcourse.controller.replication import ReplicaDriver
-from lentilcourse.controller.subscriptions import (
-    MAX_FRESHNESS_MS,
-    MAX_SUBSCRIBERS,
-    Subscriptions,
-)
+from lentilcourse.controller.shares import due_shares
+from lentilcourse.controller.subscriptions import MAX_SUBSCRIBERS, Subscriptions
 from lentilcourse.errors import (
     ChangeRefusedError,
     LentilcourseError,
@@ -39,6 +39,7 @@
     ProtocolError,
     StreamError,
 )
+from lentilcourse.feed import MAX_FRESHNESS_MS
 from lentilcourse.ids import new_id
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
@@ -75,6 +76,7 @@
 )
 
 LEASE_CHECK_S: Final = 0.1
+UNPROVED_INTERVAL_S: Final = 1.0
 OPERATOR_ACTIONS: Final = (PutEntry, DeleteEntry, SetDomain, DrainTarget)
 OPERATOR_MESSAGES: Final = (
     ProposeChange,
@@ -127,8 +129,18 @@
             rng=random.Random(),
             now=time.monotonic(),
         )
-        self.driver = ReplicaDriver(replica=self.replica, identity=identity, lifecycle=lifecycle)
-        self.proposer = Proposer(replica=self.replica, identity=identity, lifecycle=lifecycle)
+        self.driver = ReplicaDriver(
+            replica=self.replica,
+            identity=identity,
+            controllers=settings.controllers,
+            lifecycle=lifecycle,
+        )
+        self.proposer = Proposer(
+            replica=self.replica,
+            identity=identity,
+            controllers=settings.controllers,
+            lifecycle=lifecycle,
+        )
         self.leases = LeaseTable()
         self.subscriptions = Subscriptions(
             replica=self.replica, lifecycle=lifecycle, on_announcement=self.take_announcement
@@ -143,7 +155,9 @@
             pool=lifecycle.pool(name="controller-stream", limit=MAX_SUBSCRIBERS),
             lifecycle=lifecycle,
             serve=self.serve,
+            on_unproved=self.record_unproved,
         )
+        self._unproved_recorded = float("-inf")
         self._lease_pool = lifecycle.pool(name="lease-proposal", limit=64)
 
     def start(self) -> None:
@@ -173,6 +187,23 @@
             ForwardAnnouncement(name=name, announcement=announcement)
         )
 
+    def record_unproved(self, remote: str, reason: str) -> None:
+        """Enter a peer that did not prove a key in the audit trail, at most one a second."""
+        now = time.monotonic()
+        if now - self._unproved_recorded < UNPROVED_INTERVAL_S:
+            return
+        self._unproved_recorded = now
+        change = Change(
+            change_id=new_id(),
+            operator=UNKNOWN_OPERATOR,
+            source=remote.rpartition(":")[0],
+            at_ms=wall_clock_ms(),
+            edit_version=ANY_VERSION,
+            action=RefusedAccess(name=self.name, reason=reason),
+        )
+        with contextlib.suppress(LentilcourseError):
+            self.proposer.submit(change)
+
     def _answer(self, msg: object, caller: Caller) -> object:
         allowed = OPERATOR_MESSAGES if caller.kind == KIND_OPERATOR else PROCESS_MESSAGES
         if not isinstance(msg, allowed):
@@ -200,17 +231,22 @@
     def _propose_due(self, leader_since: float, now: float) -> None:
         with self.replica.changed:
             state = self.replica.machine.state
-        for action in due_actions(state, self.leases.snapshot(), leader_since, now):
+        leases = self.leases.snapshot()
+        for action in due_actions(state, leases, leader_since, now):
             self._propose_once(action)
+        announcements = {name: lease.announcement for name, lease in leases.items()}
+        for shares in due_shares(state, announcements):
+            self._propose_once(shares)
 
     def _propose_once(self, action: Action) -> None:
+        place = f"{type(action).__name__} {action.name}"
         with self._proposing_lock:
-            if action.name in self._proposing:
+            if place in self._proposing:
                 return
-            self._proposing.add(action.name)
-        self._lease_pool.submit(lambda: self._propose_membership(action))
+            self._proposing.add(place)
+        self._lease_pool.submit(lambda: self._propose_membership(action, place))
 
-    def _propose_membership(self, action: Action) -> None:
+    def _propose_membership(self, action: Action, place: str) -> None:
         change = Change(
             change_id=new_id(),
             operator=SYSTEM_OPERATOR,
@@ -225,7 +261,7 @@
             return
         finally:
             with self._proposing_lock:
-                self._proposing.discard(action.name)
+                self._proposing.discard(place)
 
 
 def wall_clock_ms() -> int:
--- a/lentilcourse/controller/subscriptions.py
+++ b/lentilcourse/controller/subscriptions.py
@@ -15,22 +15,19 @@
 
 from lentilcourse.controller.replica import Replica
 from lentilcourse.errors import StreamError
+from lentilcourse.feed import feed_subscriber
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages import (
     Announcement,
-    Delta,
-    Freshness,
-    FullState,
     Report,
     ReportMessage,
     Subscribe,
 )
+from lentilcourse.model import State, StateDelta
 from lentilcourse.streams import Stream
 
-FRESHNESS_INTERVAL_S: Final = 0.5
 MAX_SUBSCRIBERS: Final = 1024
 REPORT_LIFE_S: Final = 10.0
-MAX_FRESHNESS_MS: Final = 1_000_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -82,40 +79,38 @@
             self._on_announcement(name, msg.announcement)
 
     def _write(self, stream: Stream, version: int) -> None:
-        sent_version = version
-        freshness_due = 0.0
         try:
-            while not stream.closed and not self._lifecycle.stopped.is_set():
-                sent_version = self._send_versions(stream, sent_version)
-                now = time.monotonic()
-                if now >= freshness_due:
-                    age_ms = min(self._replica.freshness_s(now) * 1000, MAX_FRESHNESS_MS)
-                    stream.send(Freshness(age_ms=int(age_ms)))
-                    freshness_due = now + FRESHNESS_INTERVAL_S
-                self._wait_for_version(sent_version)
+            feed_subscriber(
+                stream, ReplicaSource(replica=self._replica), version, self._lifecycle.stopped
+            )
         except StreamError:
             return
         finally:
             stream.close()
 
-    def _send_versions(self, stream: Stream, sent_version: int) -> int:
-        with self._replica.changed:
-            state = self._replica.machine.state
-            deltas = self._replica.machine.deltas_after(sent_version)
-        if state.version <= sent_version:
-            return sent_version
-        if deltas is None:
-            stream.send(FullState(state=state))
-            return state.version
-        for delta in deltas:
-            stream.send(Delta(delta=delta))
-        return deltas[-1].version
-
-    def _wait_for_version(self, sent_version: int) -> None:
-        deadline = time.monotonic() + FRESHNESS_INTERVAL_S
-        with self._replica.changed:
-            while self._replica.machine.state.version <= sent_version:
+
+@attrs.frozen(kw_only=True)
+class ReplicaSource:
+    """Versions as a replica has applied them."""
+
+    replica: Replica
+
+    def read_after(self, version: int) -> tuple[State, list[StateDelta] | None]:
+        """Return the applied state, and the deltas after `version` if they are held."""
+        with self.replica.changed:
+            machine = self.replica.machine
+            return machine.state, machine.deltas_after(version)
+
+    def freshness_s(self, now: float) -> float:
+        """Return how long ago a quorum last confirmed the state."""
+        return self.replica.freshness_s(now)
+
+    def wait_after(self, version: int, timeout_s: float) -> None:
+        """Wait until there is a version after `version`, at most `timeout_s`."""
+        deadline = time.monotonic() + timeout_s
+        with self.replica.changed:
+            while self.replica.machine.state.version <= version:
                 left = deadline - time.monotonic()
                 if left <= 0:
                     return
-                self._replica.changed.wait(timeout=left)
+                self.replica.changed.wait(timeout=left)
--- /dev/null
+++ b/lentilcourse/feed.py
@@ -0,0 +1,60 @@
+"""Sends a subscriber every version of the state, and how fresh the source is.
+
+Controllers feed from their replica, agents from their copy: a process that no controller
+reaches can so follow the state through an agent that one does reach.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import Final, Protocol
+
+from lentilcourse.messages import Delta, Freshness, FullState
+from lentilcourse.model import State, StateDelta
+from lentilcourse.streams import Stream
+
+FRESHNESS_INTERVAL_S: Final = 0.5
+MAX_FRESHNESS_MS: Final = 1_000_000_000
+MS_PER_S: Final = 1000.0
+
+
+class StateSource(Protocol):
+    """Where the versions come from."""
+
+    def read_after(self, version: int) -> tuple[State, list[StateDelta] | None]:
+        """Return the state, and the deltas after `version` if they are held."""
+
+    def freshness_s(self, now: float) -> float:
+        """Return how long ago a quorum last confirmed the state."""
+
+    def wait_after(self, version: int, timeout_s: float) -> None:
+        """Wait until there is a version after `version`, at most `timeout_s`."""
+
+
+def feed_subscriber(
+    stream: Stream, source: StateSource, version: int, stopped: threading.Event
+) -> None:
+    """Feed one subscriber until its stream or the process ends; raises `StreamError`."""
+    sent_version = version
+    freshness_due = 0.0
+    while not stream.closed and not stopped.is_set():
+        sent_version = _send_versions(stream, source, sent_version)
+        now = time.monotonic()
+        if now >= freshness_due:
+            age_ms = min(source.freshness_s(now) * MS_PER_S, MAX_FRESHNESS_MS)
+            stream.send(Freshness(age_ms=int(age_ms)))
+            freshness_due = now + FRESHNESS_INTERVAL_S
+        source.wait_after(sent_version, FRESHNESS_INTERVAL_S)
+
+
+def _send_versions(stream: Stream, source: StateSource, sent_version: int) -> int:
+    state, deltas = source.read_after(sent_version)
+    if state.version <= sent_version:
+        return sent_version
+    if deltas is None:
+        stream.send(FullState(state=state))
+        return state.version
+    for delta in deltas:
+        stream.send(Delta(delta=delta))
+    return deltas[-1].version
--- /dev/null
+++ b/lentilcourse/lab/links.py
@@ -0,0 +1,121 @@
+"""A fake of network links: TCP relays that can go silent in one or both directions.
+
+A cut link keeps its connections open and takes new ones, and passes nothing on: this is how a
+silent partition looks from both ends.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from typing import Final
+
+from lentilcourse.lab.shapes import Layout
+from lentilcourse.options import Address, parse_address
+
+RELAY_BYTES: Final = 256 * 1024
+POLL_S: Final = 0.1
+BACKLOG: Final = 128
+
+
+class Link:
+    """The link from one process to one controller.
+
+    Attributes:
+        forward: whether bytes pass towards the controller.
+        backward: whether bytes pass back.
+    """
+
+    def __init__(self, *, listen: Address, connect: Address, stop: threading.Event) -> None:
+        self.forward = True
+        self.backward = True
+        self._connect = connect
+        self._stop = stop
+        self._listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind(listen.pair())
+        self._listener.listen(BACKLOG)
+        self._listener.settimeout(POLL_S)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with self._listener:
+            while not self._stop.is_set():
+                try:
+                    near, _ = self._listener.accept()
+                except TimeoutError:
+                    continue
+                threading.Thread(target=self._join, args=(near,), daemon=True).start()
+
+    def _join(self, near: socket.socket) -> None:
+        while not (self.forward and self.backward):
+            if self._stop.wait(timeout=POLL_S):
+                near.close()
+                return
+        try:
+            far = socket.create_connection(self._connect.pair(), timeout=2.0)
+        except OSError:
+            near.close()
+            return
+        back = threading.Thread(target=self._relay, args=(far, near, False), daemon=True)
+        back.start()
+        self._relay(near, far, True)
+
+    def _relay(self, source: socket.socket, sink: socket.socket, forward: bool) -> None:
+        source.settimeout(POLL_S)
+        while not self._stop.is_set():
+            if not (self.forward if forward else self.backward):
+                self._stop.wait(timeout=POLL_S)
+                continue
+            try:
+                data = source.recv(RELAY_BYTES)
+            except TimeoutError:
+                continue
+            except OSError:
+                break
+            if not data:
+                break
+            try:
+                sink.sendall(data)
+            except OSError:
+                break
+        for sock in (source, sink):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
+
+class LinkBoard:
+    """All links of a layout, by source process and controller."""
+
+    def __init__(self, *, layout: Layout) -> None:
+        self._stop = threading.Event()
+        self._links: dict[tuple[str, str], Link] = {}
+        controllers = layout.controllers()
+        for process in layout.processes():
+            for name, listen in layout.controllers_seen_by(process).items():
+                self._links[(process, name)] = Link(
+                    listen=parse_address(listen),
+                    connect=parse_address(controllers[name]),
+                    stop=self._stop,
+                )
+
+    def cut(self, process: str, *, inbound: bool, outbound: bool) -> None:
+        """Cut a process off: bytes towards it (inbound), and bytes that it sends."""
+        for (source, destination), link in self._links.items():
+            if source == process and source != destination:
+                link.forward = link.forward and not outbound
+                link.backward = link.backward and not inbound
+            elif destination == process and source != destination:
+                link.forward = link.forward and not inbound
+                link.backward = link.backward and not outbound
+
+    def heal(self) -> None:
+        """Let all links pass everything."""
+        for link in self._links.values():
+            link.forward = True
+            link.backward = True
+
+    def close(self) -> None:
+        """End all links."""
+        self._stop.set()
--- a/lentilcourse/lab/shapes.py
+++ b/lentilcourse/lab/shapes.py
@@ -22,6 +22,7 @@
 TARGET_UDP_PORT: Final = 5000
 TARGET_HTTP_PORT: Final = 8000
 FABRIC_PORT: Final = 6000
+LINK_NETWORK: Final = 10
 OPERATOR: Final = "operator-1"
 SECOND_OPERATOR: Final = "operator-2"
 CLUSTER_KEY: Final = "5e" * 16
@@ -183,6 +184,7 @@
         snapshot_records: of the controllers.
         flow_idle_s: of the agents.
         policy: candidate policy of the balancers.
+        links: whether processes reach controllers through links that can be cut.
     """
 
     shape: Shape
@@ -193,6 +195,25 @@
     flow_idle_s: float = 14400.0
     policy: str = "two-choices"
     group_commit: bool = True
+    links: bool = False
+
+    def controllers_seen_by(self, process: str) -> dict[str, str]:
+        """Return the addresses of the controllers in the settings of one process.
+
+        With links, each process reaches each controller through a link of its own.
+        """
+        if not self.links:
+            return self.controllers()
+        own = self.processes().index(process) + 1
+        return {
+            name: f"{self.prefix}.{LINK_NETWORK + number}.{own}:{CONTROLLER_PORT}"
+            for number, name in enumerate(self.controllers())
+        }
+
+    def processes(self) -> list[str]:
+        """Return the names of all processes of the system, and of the operators."""
+        agents = [place.name for place in self.targets()]
+        return [*self.controllers(), *self.balancers(), *agents, OPERATOR, SECOND_OPERATOR]
 
     def controllers(self) -> dict[str, str]:
         """Return the address of each controller."""
@@ -258,7 +279,7 @@
                 },
                 "keys": {"cluster": CLUSTER_KEY},
                 "operators": {OPERATOR: OPERATOR_KEY, SECOND_OPERATOR: SECOND_OPERATOR_KEY},
-                "controllers": self.controllers(),
+                "controllers": self.controllers_seen_by(name),
                 "controller": {
                     "address": address,
                     "data_folder": f"{self.folder}/{name}",
@@ -280,7 +301,7 @@
                     "admin_address": f"{host}:{ADMIN_PORT}",
                 },
                 "keys": {"cluster": CLUSTER_KEY},
-                "controllers": self.controllers(),
+                "controllers": self.controllers_seen_by(name),
                 "balancer": {
                     "packet_address": f"{host}:{BALANCER_PACKET_PORT}",
                     "request_address": f"{host}:{BALANCER_REQUEST_PORT}",
@@ -299,7 +320,7 @@
                     "admin_address": f"{place.host}:{ADMIN_PORT}",
                 },
                 "keys": {"cluster": CLUSTER_KEY},
-                "controllers": self.controllers(),
+                "controllers": self.controllers_seen_by(place.name),
                 "agent": {
                     "data_address": f"{place.host}:{AGENT_DATA_PORT}",
                     "stream_address": f"{place.host}:{AGENT_STREAM_PORT}",
@@ -314,7 +335,7 @@
             {
                 "process": {"name": name, "role": "operator"},
                 "keys": {"operator": key},
-                "controllers": self.controllers(),
+                "controllers": self.controllers_seen_by(name),
             }
         )
 
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -11,7 +11,7 @@
 import attrs
 
 from lentilcourse.changes import Action, Change, Outcome
-from lentilcourse.model import State, StateDelta
+from lentilcourse.model import Limits, State, StateDelta
 
 M = TypeVar("M")
 
@@ -381,9 +381,26 @@
     age_ms: int
 
 
+@attrs.frozen(kw_only=True)
+class EntryUsage:
+    """What one agent uses of an entry's limits.
+
+    Attributes:
+        entry_id: entry.
+        used: open flows, new flows in the last second, requests in flight.
+    """
+
+    entry_id: int
+    used: Limits
+
+
 @attrs.frozen(kw_only=True)
 class Announcement:
-    """A target as its agent announces it; renews the target's lease."""
+    """A target as its agent announces it; renews the target's lease.
+
+    `version` is the state version in force at the agent, and `usage` what it uses of limited
+    entries.
+    """
 
     service: str
     domain: str
@@ -394,6 +411,8 @@
     stream_address: str
     slots: int
     connections: int
+    version: int = 0
+    usage: tuple[EntryUsage, ...] = ()
 
 
 @message
--- a/lentilcourse/model.py
+++ b/lentilcourse/model.py
@@ -135,6 +135,36 @@
     connections: int
 
 
+@attrs.frozen(kw_only=True)
+class LimitShare:
+    """The part of an entry's limits that one agent may use.
+
+    A share is lowered in two steps: `granted` falls at once, `bound` only when the agent has
+    shown that it keeps to it. The bounds of an entry's shares never add up to more than its
+    limit, so that the limit holds whatever each agent knows.
+
+    Attributes:
+        name: "ENTRY/TARGET".
+        version: version of the last change of this share.
+        entry_id: entry that the limits belong to.
+        target_id: target that the share belongs to.
+        granted: what the agent may use.
+        bound: the most that the agent may be using.
+    """
+
+    name: str
+    version: int
+    entry_id: int
+    target_id: int
+    granted: Limits
+    bound: Limits
+
+
+def share_name(entry: str, target: str) -> str:
+    """Return the name of the share of a target in an entry's limits."""
+    return f"{entry}/{target}"
+
+
 @attrs.frozen(kw_only=True)
 class State:
     """The whole replicated state at one version."""
@@ -143,6 +173,7 @@
     entries: dict[str, Entry] = attrs.field(factory=dict)
     domains: dict[str, Domain] = attrs.field(factory=dict)
     targets: dict[str, Target] = attrs.field(factory=dict)
+    shares: dict[str, LimitShare] = attrs.field(factory=dict)
 
     def domain_out(self, domain: str) -> bool:
         """Return whether operators have taken `domain` out of service."""
@@ -168,9 +199,11 @@
     targets: tuple[Target, ...] = ()
     removed_entries: tuple[str, ...] = ()
     removed_targets: tuple[str, ...] = ()
+    shares: tuple[LimitShare, ...] = ()
+    removed_shares: tuple[str, ...] = ()
 
 
-NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target)
+NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target, LimitShare)
 
 
 def apply_delta(state: State, delta: StateDelta) -> State:
@@ -182,6 +215,7 @@
         entries=_replaced(state.entries, delta.entries, delta.removed_entries),
         domains=_replaced(state.domains, delta.domains, ()),
         targets=_replaced(state.targets, delta.targets, delta.removed_targets),
+        shares=_replaced(state.shares, delta.shares, delta.removed_shares),
     )
 
 
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -2,10 +2,14 @@
 
 The copy never steps back a version. A controller whose freshness is too old is left for
 another, so that a controller cut off by a silent partition does not hold its subscribers.
+
+A process that loses its controller tries an agent and another controller in turn. An agent
+serves its own copy: state so spreads sideways to a process that no controller reaches.
 """
 
 from __future__ import annotations
 
+import random
 import threading
 import time
 from collections.abc import Callable, Mapping
@@ -24,13 +28,14 @@
     ReportMessage,
     Subscribe,
 )
-from lentilcourse.model import State, apply_delta
+from lentilcourse.model import State, StateDelta, apply_delta
 from lentilcourse.options import Address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 REPORT_INTERVAL_S: Final = 0.4
 MAX_FRESHNESS_S: Final = 2.0
-RETRY_DELAY_S: Final = 0.2
+RETRY_DELAY_S: Final = 0.1
+RELAY_TURN_S: Final = 3.0
 MS_PER_S: Final = 1000.0
 
 _log = get_logger(__name__)
@@ -47,7 +52,7 @@
     def __init__(self) -> None:
         self.current = State()
         self.confirmed = float("-inf")
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
         self._listeners: list[Callable[[State, float], None]] = []
 
     def listen(self, listener: Callable[[State, float], None]) -> None:
@@ -56,14 +61,28 @@
 
     def offer(self, state: State, now: float) -> bool:
         """Put a state in force if it is newer than the current one."""
-        with self._lock:
+        with self._changed:
             if state.version <= self.current.version:
                 return False
             self.current = state
             for listener in self._listeners:
                 listener(state, now)
+            self._changed.notify_all()
             return True
 
+    def read_after(self, version: int) -> tuple[State, list[StateDelta] | None]:
+        """Return the state; a copy holds no deltas."""
+        return self.current, None
+
+    def freshness_s(self, now: float) -> float:
+        """Return how long ago a quorum was last known to stand behind the state."""
+        return max(0.0, now - self.confirmed)
+
+    def wait_after(self, version: int, timeout_s: float) -> None:
+        """Wait until there is a version after `version`, at most `timeout_s`."""
+        with self._changed:
+            self._changed.wait_for(lambda: self.current.version > version, timeout=timeout_s)
+
 
 class Subscription:
     """Keeps a `StateCopy` up to date and reports to the controller."""
@@ -77,6 +96,7 @@
         lifecycle: Lifecycle,
         report: Callable[[], Report],
         announce: Callable[[], Announcement | None],
+        rng: random.Random,
     ) -> None:
         names = sorted(controllers)
         start = sum(identity.name.encode()) % len(names)
@@ -86,6 +106,7 @@
         self._lifecycle = lifecycle
         self._report = report
         self._announce = announce
+        self._rng = rng
         self._stream: Stream | None = None
         self._pool = lifecycle.pool(name="subscription", limit=2)
         self.moves = 0
@@ -108,21 +129,35 @@
     def _run(self) -> None:
         turn = 0
         while not self._lifecycle.stopped.is_set():
-            address = self._order[turn % len(self._order)]
+            self._try(self._order[turn % len(self._order)], float("inf"))
             turn += 1
-            try:
-                self._follow(address)
-            except StreamError:
-                self._lifecycle.stopped.wait(timeout=RETRY_DELAY_S)
-            self.moves += 1
+            relays = self._relays()
+            if relays:
+                self._try(self._rng.choice(relays), time.monotonic() + RELAY_TURN_S)
+
+    def _relays(self) -> list[Address]:
+        """Return the agents that may serve their copy."""
+        targets = self._copy.current.targets.values()
+        return [
+            target.stream_address
+            for target in targets
+            if not target.lost and target.name != self._identity.name
+        ]
+
+    def _try(self, address: Address, until: float) -> None:
+        self.moves += 1
+        try:
+            self._follow(address, until)
+        except StreamError:
+            self._lifecycle.stopped.wait(timeout=RETRY_DELAY_S)
 
-    def _follow(self, address: Address) -> None:
+    def _follow(self, address: Address, until: float) -> None:
         stream = connect_stream(address, self._identity)
         try:
             stream.send(Subscribe(name=self._identity.name, version=self._copy.current.version))
             self._stream = stream
             self.send_report()
-            while not self._lifecycle.stopped.is_set():
+            while not self._lifecycle.stopped.is_set() and time.monotonic() < until:
                 if not self._take(stream.receive()):
                     self._lifecycle.stopped.wait(timeout=RETRY_DELAY_S)
                     return
