--- a/features/deployments.py
+++ b/features/deployments.py
@@ -70,9 +70,9 @@
         self.fabric = None
         self.results = []
 
-    def start(self):
-        """Start all processes and the fabric."""
-        self.cluster.start_all()
+    def start(self, skip=()):
+        """Start all processes but some targets, and the fabric."""
+        self.cluster.start_all(skip)
         self.fabric = Fabric(
             address=self.cluster.layout.fabric,
             balancers=self.cluster.packet_addresses(),
--- /dev/null
+++ b/features/flows.feature
@@ -0,0 +1,92 @@
+Feature: Nothing planned breaks a flow, and no target gets more than it can bear
+
+  Scenario Outline: Properties of the deciding functions
+    Then the property "<property>" holds
+
+    Examples:
+      | property                          |
+      | flows.owner_stays                 |
+      | flows.admission_is_safe           |
+      | flows.cold_limit_grows            |
+      | flows.rate_never_exceeded         |
+      | limits.never_exceeded             |
+      | limits.whole_limit_is_usable      |
+      | buckets.only_moved_where_needed   |
+      | packets.udp_round_trip            |
+      | packets.refusal_round_trip        |
+      | packets.reset_answers_any_flow    |
+      | packets.label_round_trip          |
+      | packets.foreign_bytes             |
+      | packets.damaged_packet            |
+      | packets.unknown_critical_option   |
+      | announcements.foreign_bytes       |
+
+  Scenario Outline: Established flows survive "<event>"
+    Given a small deployment with flows and requests
+    When 60 flows are opened
+    And flows run through "<event>"
+    Then 60 flows are open and none broke
+
+    Examples:
+      | event                                |
+      | a target drains                      |
+      | an agent restarts as planned         |
+      | an agent is killed and restarted     |
+      | a balancer restarts                  |
+      | a balancer is frozen and resumed     |
+      | all controllers are killed           |
+      | an agent is cut off from controllers |
+      | an agent is frozen for a moment      |
+
+  Scenario: Flows live on through 300 table changes, with balancers and agents restarting
+    Given a small deployment with spare agents
+    When 60 flows are opened
+    And spare targets join and leave until 300 table changes have passed
+    Then 60 flows are open and none broke
+
+  Scenario: A lost VM ends its own flows with a word, and no others
+    Given a small deployment with flows and requests
+    When 60 flows are opened
+    And the VM of target "ordering-2" is lost while flows run
+    Then only the flows of "ordering-2" ended, and their callers were told
+
+  Scenario Outline: A domain that is out gets no packet, though "<who>" is cut off from the controllers
+    Given a small deployment with links to its controllers
+    When 60 flows are opened
+    And "<who>" is cut off from the controllers while domain "luzon-b" goes out
+    Then the targets of domain "luzon-b" get no more packets
+    And only flows of domain "luzon-b" were given up, and their callers were told
+
+    Examples:
+      | who        |
+      | nobody     |
+      | balancer-1 |
+      | ordering-2 |
+
+  Scenario: A reused service address never brings packets to the former service
+    Given a small deployment with flows and requests
+    When 30 flows are opened
+    And the entry of the flows is deleted and its address given to "inspection"
+    Then no target of "ordering" gets a packet that was sent later
+
+  Scenario: An owner's limit of open flows holds over all agents together
+    Given a small deployment with flows and requests
+    When the operator limits "price-board" to 25 open flows
+    And 40 flows are tried
+    Then 25 flows are open, and 15 were refused naming "price-board" and "open_flows"
+    When target "ordering-1" drains
+    And 10 flows are tried
+    Then at most 25 flows are open
+
+  Scenario: An owner's limit of new flows holds in each second
+    Given a small deployment with flows and requests
+    When the operator limits "price-board" to 8 new flows a second
+    And 80 flows are tried within 2 seconds
+    Then no second saw more than 8 new flows accepted
+
+  Scenario: Foreign bytes are counted and dropped, and stop no process
+    Given a small deployment with flows and requests
+    When 10 flows are opened
+    And random bytes are sent to every packet address and every listener
+    Then 10 flows are open and none broke
+    And "balancer-1" serves a metric "lentilcourse_packets_malformed_total" above 0
--- /dev/null
+++ b/features/properties/requests.py
@@ -0,0 +1,355 @@
+"""Properties of requests: slots, retries, keys and their history."""
+
+from __future__ import annotations
+
+import threading
+import time
+import uuid
+from concurrent.futures import ThreadPoolExecutor
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from lentilcourse.agent.idempotency import KeyRecord, KeyRecords, fingerprint
+from lentilcourse.agent.key_history import KEY_LIFE_MS, KeyHistory, KeyVerdict, key_time_ms
+from lentilcourse.agent.slots import QUEUE_PER_SLOT, SlotQueue
+from lentilcourse.balancer.request_path import (
+    RequestRefusedError,
+    final_refusal,
+    may_repeat,
+    read_work,
+)
+from lentilcourse.balancer.retry_budget import MAX_SAVED_RETRIES, RETRY_SHARE, RetryBudget
+from lentilcourse.buckets import bucket_of, rendezvous_table
+from lentilcourse.http_server import HttpRequest
+from lentilcourse.messages import Header, KeyState, Refusal, RequestStart
+from lentilcourse.model import State
+from lentilcourse.refusals import Cause, http_body, http_status, system_refusal
+from properties import prop
+
+NAMES = ("a", "b", "c", "d")
+
+refusals = st.builds(
+    Refusal,
+    refusal_id=st.just("r"),
+    reason=st.sampled_from(("owner-limit", "system")),
+    ran=st.sampled_from(("no", "unknown")),
+    entry=st.just("orders"),
+    cause=st.sampled_from([cause.value for cause in Cause]),
+)
+
+
+@prop("requests.retry_only_when_safe")
+@given(refusals, st.booleans(), st.booleans())
+def check_retry(refusal, repeatable, keyed):
+    """Work that may have run is repeated only if it may run twice or its key guards it."""
+    if may_repeat(repeatable, keyed, refusal):
+        assert refusal.reason == "system"
+        assert refusal.ran == "no" or repeatable or keyed
+
+
+@prop("requests.final_refusal_is_honest")
+@given(st.lists(refusals, min_size=1, max_size=6))
+def check_final(attempts):
+    """One attempt of unknown outcome makes the whole unknown; a system's cause is not hidden."""
+    told = final_refusal(attempts, "orders")
+    system = [each for each in attempts if each.reason == "system"]
+    assert (told.reason == "owner-limit") == (not system)
+    if any(each.ran == "unknown" for each in system):
+        assert told.ran == "unknown"
+    assert told in attempts
+
+
+@prop("requests.budget_bounds_retries")
+@given(st.integers(0, 500))
+def check_budget(requests):
+    """Retries stay within a tenth of the requests, beside the bounded savings."""
+    budget = RetryBudget()
+    retries = 0
+    for _ in range(requests):
+        budget.add_request()
+        retries += budget.take()
+    assert retries <= MAX_SAVED_RETRIES + RETRY_SHARE * requests + 1
+
+
+@prop("requests.foreign_headers")
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((b"host", b"idempotency-key", b"request-timeout-ms", b"x")),
+            st.binary(max_size=150),
+        ),
+        max_size=5,
+    )
+)
+def check_headers(fields):
+    """Any header fields give work or a refusal that says it did not run."""
+    req = HttpRequest(
+        method=b"POST",
+        target=b"/",
+        headers=tuple(Header(name=name, value=value) for name, value in fields),
+        body=b"",
+    )
+    try:
+        read_work(req, State(), 0.0)
+    except RequestRefusedError as exc:
+        assert exc.refusal.ran == "no"
+        assert http_status(exc.refusal) in (400, 404)
+        assert http_body(exc.refusal)
+    else:
+        raise AssertionError("taken without an entry")
+
+
+@prop("requests.every_cause_has_a_status")
+@given(st.sampled_from(Cause), st.sampled_from(("no", "unknown")))
+def check_status(cause, ran):
+    """Each cause maps to a client or server error."""
+    assert 400 <= http_status(system_refusal(cause, ran, "orders")) < 600
+
+
+@prop("requests.slots_never_exceeded")
+@settings(max_examples=15)
+@given(
+    st.integers(1, 3),
+    st.lists(st.tuples(st.integers(0, 2), st.integers(0, 4)), min_size=1, max_size=20),
+)
+def check_slots(limit, jobs):
+    """No more run at once than there are slots, and every waiter gets an answer."""
+    slots = SlotQueue(limit=limit)
+    lock = threading.Lock()
+    running, most, answers = [0], [0], []
+
+    def run(rank, wait):
+        cause = slots.acquire(rank, time.monotonic() + 5.0, lambda: False)
+        if cause is not None:
+            answers.append(cause)
+            return
+        with lock:
+            running[0] += 1
+            most[0] = max(most[0], running[0])
+        time.sleep(wait / 1000)
+        with lock:
+            running[0] -= 1
+        slots.release()
+        answers.append(None)
+
+    with ThreadPoolExecutor(max_workers=20) as pool:
+        for rank, wait in jobs:
+            pool.submit(run, rank, wait)
+    assert len(answers) == len(jobs)
+    assert most[0] <= limit
+    assert slots.in_use == 0 and slots.waiting == 0
+    assert set(answers) <= {None, Cause.TARGET_FULL, Cause.DISPLACED}
+
+
+@prop("requests.class_ranks_the_queue")
+@given(st.lists(st.integers(0, 2), min_size=2, max_size=QUEUE_PER_SLOT))
+def check_ranks(ranks):
+    """Waiters are served by class, then by arrival."""
+    slots = SlotQueue(limit=1)
+    assert slots.acquire(0, time.monotonic() + 1, lambda: False) is None
+    served = []
+    with ThreadPoolExecutor(max_workers=8) as pool:
+        for number, rank in enumerate(ranks):
+            pool.submit(wait_for_slot, slots, rank, number, served)
+            while slots.waiting <= number:
+                time.sleep(0.0002)
+        slots.release()
+    assert served == sorted(served), (ranks, served)
+
+
+def wait_for_slot(slots, rank, number, served):
+    """Take a slot in a class and note the order of service."""
+    assert slots.acquire(rank, time.monotonic() + 5, lambda: False) is None
+    served.append((rank, number))
+    slots.release()
+
+
+@prop("requests.higher_class_displaces")
+@given(st.integers(1, 2))
+def check_displaced(lower):
+    """A full queue gives the place of its lowest, newest waiter to a higher class."""
+    slots = SlotQueue(limit=1)
+    assert slots.acquire(0, time.monotonic() + 1, lambda: False) is None
+    answers = []
+
+    def wait(rank):
+        answers.append((rank, slots.acquire(rank, time.monotonic() + 5, lambda: False)))
+        if answers[-1][1] is None:
+            slots.release()
+
+    with ThreadPoolExecutor(max_workers=8) as pool:
+        for count in range(QUEUE_PER_SLOT):
+            pool.submit(wait, lower)
+            while slots.waiting <= count:
+                time.sleep(0.0002)
+        assert slots.acquire(lower, time.monotonic() + 5, lambda: False) is Cause.TARGET_FULL
+        pool.submit(wait, 0)
+        while not answers:
+            time.sleep(0.0002)
+        slots.release()
+    assert answers[0] == (lower, Cause.DISPLACED)
+    assert answers[1] == (0, None)
+
+
+class KeyWorld(RuleBasedStateMachine):
+    """Four agents that hold keys by an ever-changing table; agents die and lose their memory."""
+
+    def __init__(self):
+        super().__init__()
+        self.wall_ms = 1_000_000_000_000
+        self.members = list(NAMES)
+        self.dead = set()
+        self.runs = {}
+        self.keys = []
+        self.records = {name: KeyRecords() for name in NAMES}
+        self.history = {name: KeyHistory(name=name) for name in NAMES}
+        self.former = {}
+        self.spread(first=True)
+
+    def table(self):
+        alive = [name for name in self.members if name not in self.dead]
+        return rendezvous_table("s", tuple(alive))
+
+    def spread(self, first=False):
+        """Let all learn the table, hand over and confirm, as connected agents do."""
+        table = self.table()
+        for name in self.members:
+            if name not in self.dead:
+                live = frozenset(self.members) - self.dead - {name}
+                self.history[name].on_table(
+                    table,
+                    live,
+                    restarted=not first and name not in self.former,
+                    jumped=False,
+                    wall_ms=self.wall_ms,
+                )
+        for name in self.members:
+            for peer in self.members:
+                if name != peer and not {name, peer} & self.dead:
+                    self.hand_over(name, peer, table)
+        self.former = {name: True for name in self.members if name not in self.dead}
+
+    def hand_over(self, name, peer, table):
+        for (entry_id, key), record in self.records[name].items():
+            if peer in table.candidates[bucket_of(key.encode())][:2]:
+                self.records[peer].merge(key_state(entry_id, key, record))
+        self.history[peer].confirm(name, self.history[name].lost_ms())
+
+    @rule(fresh=st.booleans(), index=st.integers(0, 20), ordered=st.booleans())
+    def send(self, fresh, index, ordered):
+        """Send a new key, or an old one again, to its home."""
+        self.wall_ms += 5_000
+        if fresh or not self.keys:
+            raw = (self.wall_ms << 80) | (7 << 76) | (2 << 62) | len(self.keys)
+            number = uuid.UUID(int=raw) if ordered else f"key-{len(self.keys)}"
+            self.keys.append(str(number))
+        key = self.keys[-1] if fresh else self.keys[index % len(self.keys)]
+        table = self.table()
+        bucket = bucket_of(key.encode())
+        home = table.home(bucket)
+        if home is None:
+            return
+        req = request(key)
+        if self.records[home].find(req) is not None:
+            return
+        if self.history[home].judge(bucket, key, self.wall_ms) is not KeyVerdict.NEW:
+            return
+        record, first = self.records[home].claim(req, home)
+        assert first
+        for backup in table.candidates[bucket][1:2]:
+            self.records[backup].merge(key_state(1, key, record))
+        self.runs[key] = self.runs.get(key, 0) + 1
+        assert self.runs[key] == 1, key
+
+    @rule(name=st.sampled_from(NAMES))
+    def die(self, name):
+        """Kill an agent: its memory is gone."""
+        if name not in self.dead:
+            self.wall_ms += 5_000
+            self.dead.add(name)
+            self.records[name] = KeyRecords()
+            self.former.pop(name, None)
+            self.spread()
+
+    @rule(name=st.sampled_from(NAMES))
+    def come_back(self, name):
+        """Start a dead agent again, with nothing in its memory."""
+        if name in self.dead:
+            self.wall_ms += 5_000
+            self.dead.discard(name)
+            self.history[name] = KeyHistory(name=name)
+            self.spread()
+
+    @rule(name=st.sampled_from(NAMES))
+    def forget_quickly(self, name):
+        """Restart an agent so fast that nobody noticed."""
+        if name not in self.dead:
+            self.wall_ms += 5_000
+            self.records[name] = KeyRecords()
+            self.history[name] = KeyHistory(name=name)
+            self.former.pop(name, None)
+            self.spread()
+
+
+def request(key):
+    """Return a request under a key."""
+    return RequestStart(
+        request_id="r",
+        entry_id=1,
+        version=1,
+        method=b"POST",
+        path=b"/",
+        headers=(),
+        body=b"",
+        timeout_ms=0,
+        idempotency_key=key,
+    )
+
+
+def key_state(entry_id, key, record):
+    """Return a record as it travels."""
+    return KeyState(
+        entry_id=entry_id,
+        key=key,
+        fingerprint=record.fingerprint,
+        owner=record.owner,
+        ended=False,
+        start=None,
+        body=None,
+        refusal=None,
+        claim_id="",
+    )
+
+
+@prop("requests.key_runs_at_most_once")
+def check_keys():
+    """No key is taken as new twice, whatever agents die, return or forget."""
+    run_state_machine_as_test(KeyWorld, settings=settings(max_examples=60, stateful_step_count=40))
+
+
+@prop("requests.key_time")
+@given(st.integers(0, 2**48 - 1), st.text(max_size=40))
+def check_key_time(time_ms, text):
+    """Only a version 7 key has a time."""
+    raw = (time_ms << 80) | (7 << 76) | (2 << 62)
+    assert key_time_ms(str(uuid.UUID(int=raw))) == time_ms
+    assert key_time_ms(str(uuid.uuid4())) is None
+    assert text.count("-") == 4 or len(text) >= 32 or key_time_ms(text) is None
+
+
+@prop("requests.known_outcome_stays")
+@given(st.binary(max_size=10), st.booleans())
+def check_merge(body, ended):
+    """A known outcome is never replaced by a later message."""
+    records = KeyRecords()
+    req = request("k")
+    record, _ = records.claim(req, "a")
+    record.body = b"first"
+    record.ended.set()
+    other = KeyRecord(fingerprint=fingerprint(req), owner="b")
+    other.body = body
+    records.merge(key_state(1, "k", other))
+    assert records.find(req).body == b"first"
+    assert KEY_LIFE_MS > 0
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -17,17 +17,17 @@
 from lentilcourse.options import load_settings
 
 
-def deploy(context, layout_changes=None, cold_s=0.0):
+def deploy(context, layout_changes=None, cold_s=0.0, shape=SMALL, skip=()):
     """Start a small deployment."""
     layout = Layout(
-        shape=SMALL,
+        shape=shape,
         prefix=context.prefix,
         folder=str(context.folder / "data"),
         **(layout_changes or {}),
     )
     context.deployment = Deployment(layout=layout, folder=context.folder, cold_s=cold_s)
     context.closers.append(context.deployment.stop)
-    context.deployment.start()
+    context.deployment.start(skip)
 
 
 @given("a small deployment with flows and requests")
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 from lentilcourse.agent.flow_view import FlowView
@@ -20,18 +21,23 @@
 class Completeness:
     """Registrations that have been completed by other agents, and probes under way."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, connected: Callable[[str], bool]) -> None:
+        self._connected = connected
         self._home_since = [0] * BUCKETS
         self._complete: dict[str, int] = {}
         self._lost_since: dict[str, float] = {}
         self._probes: dict[bytes, float] = {}
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
-        """Note which buckets have moved here, and which peers are lost."""
+        """Note which buckets have moved here, and which peers are lost.
+
+        Over versions that were passed by, a bucket may have been elsewhere for a time.
+        """
+        jumped = new.version > old.version + 1
         for bucket in range(BUCKETS):
             became_home = new.table.home(bucket) == new.name
             was_home = old.table.home(bucket) == new.name and old.own is not None
-            if became_home and not was_home:
+            if became_home and (jumped or not was_home):
                 self._home_since[bucket] = new.version
         for name, peer in new.peers.items():
             if not peer.lost:
@@ -61,9 +67,15 @@
         ]
 
     def presumed_dead(self, peer: str, now: float) -> bool:
-        """Return whether a peer has been lost for so long that its flows are given up."""
+        """Return whether a peer's flows are given up.
+
+        Its lease must have expired for `LOST_WAIT_S`, and the own stream to it be gone too: an
+        agent that is only cut off from the controllers keeps its flows.
+        """
         lost_since = self._lost_since.get(peer)
-        return lost_since is not None and now - lost_since > LOST_WAIT_S
+        if lost_since is None or now - lost_since <= LOST_WAIT_S:
+            return False
+        return not self._connected(peer)
 
     def probe_answered_late(self, key: bytes, now: float) -> bool:
         """Return whether a flow was probed for and nobody owned up in time.
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -54,7 +54,6 @@
     FlowRecord,
     ForgetFlows,
     RecoveredFlows,
-    RecoverFlows,
     Refusal,
     RegisterFlows,
     RegistrationComplete,
@@ -106,6 +105,8 @@
     domain_out: int = 0
     unknown_flow: int = 0
     no_owner: int = 0
+    behind: int = 0
+    recovering: int = 0
     accepted: int = 0
     declined: int = 0
     ended_idle: int = 0
@@ -160,10 +161,11 @@
         self._rng = rng
         self._lock = threading.RLock()
         self._view = empty_view(name, 0)
-        self._completeness = Completeness()
+        self._completeness = Completeness(connected=self._is_connected)
         self._started = RateWindow()
         self._loads: dict[str, PeerLoad] = {}
         self._cold_since = float("-inf")
+        self._to_recover: list[RecoveredFlows] = []
 
     # Datagrams.
 
@@ -236,8 +238,10 @@
             self.counts.domain_out += 1
         elif label.flags & FLAG_DECLINED:
             self._on_declined(key, entry, label, packet, now)
+        elif self._to_recover:
+            self.counts.recovering += 1
         elif label.flags & FLAG_PROBE:
-            self.counts.unknown_flow += 1
+            self._on_probed(key, source, now)
         elif label.flags & FLAG_HUNT:
             self._on_hunted(key, entry, packet, source, now)
         elif label.flags & FLAG_OWNER:
@@ -245,6 +249,19 @@
         else:
             self._find_owner(key, entry, label, packet, now)
 
+    def _on_probed(self, key: bytes, source: tuple[str, int], now: float) -> None:
+        """Tell a home that has lost its memory if it is itself the owner that it looks for."""
+        self.counts.unknown_flow += 1
+        home = self._view.by_address.get(source)
+        known = self.directory.find(key, now)
+        target = self._view.peers.get(home) if home is not None else None
+        if known is None or target is None or known.owner != home or not known.registered:
+            return
+        record = FlowRecord(
+            key=key, entry_id=known.entry_id, local_port=known.local_port, idle_ms=0
+        )
+        self._send_peer(home, RecoveredFlows(incarnation=target.incarnation, flows=(record,)))
+
     def _on_not_owner(self, key: bytes, packet: bytes, source: tuple[str, int]) -> None:
         self.counts.unknown_flow += 1
         home = self._view.by_address.get(source)
@@ -294,6 +311,9 @@
             self._refuse(packet, self._system(Cause.DOMAIN_OUT, entry.entry_id))
             return
         gone = known.owner not in view.peers
+        if gone and known.version > view.version:
+            self.counts.behind += 1
+            return
         if gone or self._completeness.presumed_dead(known.owner, now):
             self.directory.remove(key)
             self.counts.ended_target_gone += 1
@@ -511,6 +531,7 @@
             if self.peers is not None and new.own is not None:
                 self.peers.on_state(state, new.own.service)
             self._completeness.on_view(old, new, now)
+            self._recover(now)
             self._end_forbidden(old, new, now)
             self._forget_former_runs(old, new)
             self._keep_or_expire_directory(new, now)
@@ -523,6 +544,7 @@
                 if now - flow.last_seen > self._idle_s:
                     self._end(flow)
                     self.counts.ended_idle += 1
+            self._recover(now)
             self.directory.expire(now)
             self._completeness.expire(now)
             load = FlowLoad(owner=self._name, flows=len(self.flows), limit=self._flow_limit(now))
@@ -607,10 +629,23 @@
             ]
             for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
                 part = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
-                peer.send(RegisterFlows(owner=self._name, flows=part))
+                peer.send(RegisterFlows(owner=self._name, version=view.version, flows=part))
+            for part in self._recorded_for(peer.target.name):
+                peer.send(part)
             peer.send(RegistrationComplete(owner=self._name, version=view.version))
-            if view.own is not None:
-                peer.send(RecoverFlows(owner=self._name, incarnation=view.own.incarnation))
+
+    def _recorded_for(self, owner: str) -> list[RecoveredFlows]:
+        target = self._view.peers.get(owner)
+        if target is None:
+            return []
+        flows = self.directory.flows_of(owner)
+        return [
+            RecoveredFlows(
+                incarnation=target.incarnation,
+                flows=tuple(flows[start : start + MAX_RECORDS_PER_MESSAGE]),
+            )
+            for start in range(0, len(flows), MAX_RECORDS_PER_MESSAGE)
+        ]
 
     def on_peer_lost(self, name: str) -> None:
         """Note that the incoming stream of a peer has ended."""
@@ -632,7 +667,10 @@
                 self.directory.put(
                     record.key,
                     DirectoryEntry(
-                        owner=peer, entry_id=record.entry_id, local_port=record.local_port
+                        owner=peer,
+                        entry_id=record.entry_id,
+                        local_port=record.local_port,
+                        version=msg.version,
                     ),
                 )
 
@@ -652,24 +690,36 @@
         with self._lock:
             self._loads[peer] = PeerLoad(flows=msg.flows, limit=msg.limit)
 
-    @on_message.register
-    def _on_recover(self, msg: RecoverFlows, peer: str, now: float) -> None:
-        with self._lock:
-            owner = self._view.peers.get(peer)
-            same_run = owner is not None and owner.incarnation == msg.incarnation
-            flows = tuple(self.directory.flows_of(peer)) if same_run else ()
-        self._send_peer(peer, RecoveredFlows(flows=flows, last=True))
-
     @on_message.register
     def _on_recovered(self, msg: RecoveredFlows, peer: str, now: float) -> None:
         with self._lock:
-            for record in msg.flows:
-                known = record.entry_id in self._view.entries
-                if known and self.flows.get(record.key) is None and self._own(record, now):
-                    self.counts.recovered += 1
+            self._to_recover.append(msg)
+            self._recover(now)
+
+    def _recover(self, now: float) -> None:
+        """Own recorded flows again, once state and target are known here."""
+        last = self._monitor.last
+        if self._view.own is None or last is None:
+            return
+        waiting, self._to_recover = self._to_recover, []
+        for msg in waiting:
+            if msg.incarnation == last.incarnation:
+                for record in msg.flows:
+                    self._recover_flow(record, now)
+
+    def _recover_flow(self, record: FlowRecord, now: float) -> None:
+        known = record.entry_id in self._view.entries and not self._view.domain_out
+        if known and self.flows.get(record.key) is None and self._own(record, now):
+            self.counts.recovered += 1
+
+    def _is_connected(self, name: str) -> bool:
+        return self.peers is not None and self.peers.is_connected(name)
 
     def _register_with(self, name: str | None, records: list[FlowRecord]) -> None:
-        self._send_peer(name, RegisterFlows(owner=self._name, flows=tuple(records)))
+        version = self._view.version
+        self._send_peer(
+            name, RegisterFlows(owner=self._name, version=version, flows=tuple(records))
+        )
 
     def _send_peer(self, name: str | None, msg: object) -> None:
         if name is not None and self.peers is not None:
--- a/lentilcourse/agent/flow_table.py
+++ b/lentilcourse/agent/flow_table.py
@@ -94,6 +94,7 @@
     Attributes:
         owner: target that owns it, or that is asked to take it while `tried` is not empty.
         entry_id: entry of the flow.
+        version: state version in force at the owner when it registered the flow.
         local_port: port from which the owner speaks to its target.
         expires: time after which an unconfirmed entry is void; infinite once registered.
         tried: targets that were asked to take the flow, in order.
@@ -102,6 +103,7 @@
 
     owner: str
     entry_id: int
+    version: int = 0
     local_port: int = 0
     expires: float = float("inf")
     tried: tuple[str, ...] = ()
--- a/lentilcourse/agent/idempotency.py
+++ b/lentilcourse/agent/idempotency.py
@@ -14,7 +14,7 @@
 import attrs
 from xxhash import xxh3_128_digest
 
-from lentilcourse.messages import AnswerChunk, AnswerStart, Refusal, RequestStart
+from lentilcourse.messages import AnswerChunk, AnswerStart, KeyState, Refusal, RequestStart
 
 MAX_RECORDS: Final = 100_000
 MAX_STORED_ANSWER_BYTES: Final = 64 * 1024
@@ -26,6 +26,7 @@
 
     Attributes:
         fingerprint: digest of the request under which the key was first used.
+        owner: target whose agent runs the request.
         ended: set once the outcome is known, or known to be unknown.
         start: stored start of the answer.
         body: stored body of the answer.
@@ -33,6 +34,7 @@
     """
 
     fingerprint: bytes
+    owner: str
     ended: threading.Event = attrs.field(factory=threading.Event)
     start: AnswerStart | None = None
     body: bytes | None = None
@@ -49,14 +51,24 @@
     def __len__(self) -> int:
         return len(self._records)
 
-    def claim(self, req: RequestStart) -> tuple[KeyRecord, bool]:
+    def find(self, req: RequestStart) -> KeyRecord | None:
+        """Return the record of a key."""
+        with self._lock:
+            return self._records.get((req.entry_id, req.idempotency_key))
+
+    def items(self) -> list[tuple[tuple[int, str], KeyRecord]]:
+        """Return all records."""
+        with self._lock:
+            return list(self._records.items())
+
+    def claim(self, req: RequestStart, owner: str) -> tuple[KeyRecord, bool]:
         """Record a key; the flag says whether this request is the first under it."""
         with self._lock:
             place = (req.entry_id, req.idempotency_key)
             found = self._records.get(place)
             if found is not None:
                 return found, False
-            record = KeyRecord(fingerprint=fingerprint(req))
+            record = KeyRecord(fingerprint=fingerprint(req), owner=owner)
             self._records[place] = record
             self._evict()
             return record, True
@@ -68,6 +80,30 @@
             if self._records.get(place) is record:
                 del self._records[place]
 
+    def merge(self, msg: KeyState) -> None:
+        """Take over what another agent knows of a key; a known outcome stays."""
+        with self._lock:
+            place = (msg.entry_id, msg.key)
+            record = self._records.get(place)
+            if record is None:
+                record = KeyRecord(fingerprint=msg.fingerprint, owner=msg.owner)
+                self._records[place] = record
+                self._evict()
+            if record.ended.is_set():
+                return
+            record.owner = msg.owner
+            if msg.ended:
+                record.start, record.body = msg.start, msg.body
+                record.refusal = msg.refusal
+                record.ended.set()
+
+    def forget(self, entry_id: int, key: str, owner: str) -> None:
+        """Remove a key of another agent whose request provably did not run."""
+        with self._lock:
+            record = self._records.get((entry_id, key))
+            if record is not None and record.owner == owner and not record.ended.is_set():
+                del self._records[(entry_id, key)]
+
     def _evict(self) -> None:
         while len(self._records) > MAX_RECORDS:
             self._records.popitem(last=False)
--- /dev/null
+++ b/lentilcourse/agent/key_history.py
@@ -0,0 +1,137 @@
+"""Whether the home of a key knows every key that was used before it became home.
+
+Each key is recorded at its home and, before the request is delivered, at the next candidate of
+its bucket (the backup). A bucket that moves is handed over by its former home, or taken over by
+the backup. Where both are lost, keys that may have been used before are answered "unknown":
+a time-ordered key (RFC 9562, version 7) that is younger than the loss is known to be new.
+"""
+
+from __future__ import annotations
+
+import enum
+import uuid
+from typing import Final
+
+import attrs
+
+from lentilcourse.buckets import BUCKETS, EMPTY_TABLE, BucketTable
+
+KEY_LIFE_MS: Final = 3_600_000
+CLOCK_MARGIN_MS: Final = 2_000
+NEVER_LOST: Final = 0
+
+
+class KeyVerdict(enum.Enum):
+    """What a home may do with a key of which it has no record."""
+
+    NEW = "new"
+    WAIT = "wait"
+    MAYBE_USED = "maybe-used"
+    NOT_HOME = "not-home"
+
+
+@attrs.define(kw_only=True)
+class BucketHistory:
+    """What is known of the keys of one bucket.
+
+    Attributes:
+        waits_for: peer whose records are still to come; empty for none.
+        lost_ms: wall-clock time before which keys may have been lost; `NEVER_LOST` for none.
+    """
+
+    waits_for: str = ""
+    lost_ms: int = NEVER_LOST
+
+
+class KeyHistory:
+    """The history of all buckets at one agent."""
+
+    def __init__(self, *, name: str) -> None:
+        self._name = name
+        self._table = EMPTY_TABLE
+        self._joined = False
+        self._buckets = [BucketHistory() for _ in range(BUCKETS)]
+
+    def on_table(
+        self,
+        table: BucketTable,
+        live: frozenset[str],
+        *,
+        restarted: bool,
+        jumped: bool,
+        wall_ms: int,
+    ) -> None:
+        """Put a new table in force.
+
+        `live` names the other targets whose agents can hand records over; `restarted` says
+        that this agent was a member before and has lost its memory; `jumped` that versions
+        were passed by, over which a bucket may have been elsewhere for a time.
+        """
+        old, self._table = self._table, table
+        for bucket, history in enumerate(self._buckets):
+            held = self._name in old.candidates[bucket][:2]
+            holds = self._name in table.candidates[bucket][:2]
+            if holds and (jumped or not held):
+                source = self._source(old.candidates[bucket], table.candidates[bucket])
+                self._take_over(history, source, live, restarted, wall_ms)
+            if history.waits_for and history.waits_for not in live:
+                history.waits_for = ""
+                history.lost_ms = wall_ms
+        self._joined = True
+
+    def confirm(self, peer: str, lost_ms: int) -> None:
+        """Note that a peer has handed over all its records, and what it had lost itself."""
+        for history in self._buckets:
+            if history.waits_for == peer:
+                history.waits_for = ""
+                history.lost_ms = max(history.lost_ms, lost_ms)
+
+    def lost_ms(self) -> int:
+        """Return the latest loss in any bucket that this agent holds."""
+        held = [
+            history.lost_ms
+            for bucket, history in enumerate(self._buckets)
+            if self._name in self._table.candidates[bucket][:2]
+        ]
+        return max(held, default=NEVER_LOST)
+
+    def judge(self, bucket: int, key: str, wall_ms: int) -> KeyVerdict:
+        """Return what may be done with a key of which there is no record."""
+        if self._table.home(bucket) != self._name:
+            return KeyVerdict.NOT_HOME
+        history = self._buckets[bucket]
+        if history.waits_for:
+            return KeyVerdict.WAIT
+        if history.lost_ms == NEVER_LOST or wall_ms - history.lost_ms > KEY_LIFE_MS:
+            return KeyVerdict.NEW
+        created_ms = key_time_ms(key)
+        if created_ms is not None and created_ms > history.lost_ms + CLOCK_MARGIN_MS:
+            return KeyVerdict.NEW
+        return KeyVerdict.MAYBE_USED
+
+    def _source(self, old: tuple[str, ...], new: tuple[str, ...]) -> str:
+        """Return the target that has held the keys of a bucket until now, "" for none."""
+        holders = [name for name in (old if self._joined else new) if name != self._name]
+        return holders[0] if holders else ""
+
+    def _take_over(
+        self,
+        history: BucketHistory,
+        source: str,
+        live: frozenset[str],
+        restarted: bool,
+        wall_ms: int,
+    ) -> None:
+        if source in live:
+            history.waits_for = source
+        elif source or restarted:
+            history.lost_ms = wall_ms
+
+
+def key_time_ms(key: str) -> int | None:
+    """Return the time in a version 7 key, None for any other key."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    return parsed.int >> 80 if parsed.version == 7 else None
--- /dev/null
+++ b/lentilcourse/agent/key_replication.py
@@ -0,0 +1,179 @@
+"""Keeps the records of keys at a home and its backup, and hands them over.
+
+The home asks the backup to record a key and waits for its answer before the request is
+delivered; without the answer the request is refused as not run. Outcomes follow without
+waiting.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from functools import singledispatchmethod
+from typing import Final
+
+from lentilcourse.agent.idempotency import KeyRecord, KeyRecords
+from lentilcourse.agent.key_history import KeyHistory, KeyVerdict
+from lentilcourse.agent.peers import AgentPeer, AgentPeers
+from lentilcourse.buckets import EMPTY_TABLE, BucketTable, bucket_of, build_table
+from lentilcourse.ids import new_id
+from lentilcourse.messages import (
+    ClaimAcknowledged,
+    KeysComplete,
+    KeyState,
+    ReleaseKey,
+    RequestStart,
+)
+from lentilcourse.model import State
+
+CLAIM_TIMEOUT_S: Final = 0.5
+NS_PER_MS: Final = 1_000_000
+
+
+class KeyReplication:
+    """Records of keys at this agent, as home or backup."""
+
+    def __init__(self, *, name: str, records: KeyRecords, peers: AgentPeers) -> None:
+        self._name = name
+        self._records = records
+        self._peers = peers
+        self._lock = threading.Lock()
+        self._history = KeyHistory(name=name)
+        self._table: BucketTable = EMPTY_TABLE
+        self._live: frozenset[str] = frozenset()
+        self._version = 0
+        self._claims: dict[str, threading.Event] = {}
+
+    def on_state(self, old: State, new: State) -> None:
+        """Put a new table in force and hand over the records of buckets that moved away."""
+        own = new.targets.get(self._name)
+        if own is None:
+            return
+        members = new.service_targets(own.service)
+        restarted = old.version == 0 or self._name in old.targets
+        with self._lock:
+            self._live = frozenset(
+                each.name for each in members if not each.lost and each.name != self._name
+            )
+            former, self._table = self._table, build_table(new, own.service)
+            self._version = new.version
+            self._history.on_table(
+                self._table,
+                self._live,
+                restarted=restarted,
+                jumped=new.version > old.version + 1,
+                wall_ms=wall_clock_ms(),
+            )
+        for peer in self._live:
+            self._hand_over(peer, former)
+
+    def greet(self, peer: AgentPeer, now: float) -> None:
+        """Send a peer every record that it should hold, over a stream just opened."""
+        for state in self._states_for(peer.target.name, EMPTY_TABLE):
+            peer.send(state)
+        peer.send(self._complete())
+
+    def judge(self, key: str) -> KeyVerdict:
+        """Return what may be done with a key of which there is no record."""
+        with self._lock:
+            return self._history.judge(bucket_of(key.encode()), key, wall_clock_ms())
+
+    def owner_runs(self, record: KeyRecord) -> bool:
+        """Return whether the outcome of a record may still come."""
+        return record.owner == self._name or record.owner in self._live
+
+    def claim(self, req: RequestStart, record: KeyRecord) -> bool:
+        """Record a key at the backup; returns False if that is not certain."""
+        backup = self._backup(req.idempotency_key)
+        if backup is None:
+            return True
+        claim_id = new_id()
+        acknowledged = threading.Event()
+        self._claims[claim_id] = acknowledged
+        try:
+            self._peers.send(
+                backup, self._state(req.entry_id, req.idempotency_key, record, claim_id)
+            )
+            return acknowledged.wait(timeout=CLAIM_TIMEOUT_S)
+        finally:
+            self._claims.pop(claim_id, None)
+
+    def publish(self, req: RequestStart, record: KeyRecord) -> None:
+        """Send an outcome to whoever else holds the key now."""
+        for holder in self._holders(req.idempotency_key):
+            self._peers.send(holder, self._state(req.entry_id, req.idempotency_key, record, ""))
+
+    def release(self, req: RequestStart) -> None:
+        """Tell the holders that a key's request provably did not run."""
+        for holder in self._holders(req.idempotency_key):
+            self._peers.send(holder, ReleaseKey(entry_id=req.entry_id, key=req.idempotency_key))
+
+    @singledispatchmethod
+    def on_message(self, msg: object, peer: str) -> None:
+        """Take one message of another agent."""
+
+    @on_message.register
+    def _on_state(self, msg: KeyState, peer: str) -> None:
+        self._records.merge(msg)
+        if msg.claim_id:
+            self._peers.send(peer, ClaimAcknowledged(claim_id=msg.claim_id))
+
+    @on_message.register
+    def _on_acknowledged(self, msg: ClaimAcknowledged, peer: str) -> None:
+        waiting = self._claims.get(msg.claim_id)
+        if waiting is not None:
+            waiting.set()
+
+    @on_message.register
+    def _on_release(self, msg: ReleaseKey, peer: str) -> None:
+        self._records.forget(msg.entry_id, msg.key, peer)
+
+    @on_message.register
+    def _on_complete(self, msg: KeysComplete, peer: str) -> None:
+        with self._lock:
+            self._history.confirm(peer, msg.lost_ms)
+
+    def _hand_over(self, peer: str, former: BucketTable) -> None:
+        for state in self._states_for(peer, former):
+            self._peers.send(peer, state)
+        self._peers.send(peer, self._complete())
+
+    def _complete(self) -> KeysComplete:
+        with self._lock:
+            return KeysComplete(version=self._version, lost_ms=self._history.lost_ms())
+
+    def _states_for(self, peer: str, former: BucketTable) -> list[KeyState]:
+        """Return the records that a peer holds now and did not hold at a former table."""
+        found: list[KeyState] = []
+        for (entry_id, key), record in self._records.items():
+            bucket = bucket_of(key.encode())
+            holds = peer in self._table.candidates[bucket][:2]
+            if holds and peer not in former.candidates[bucket][:2]:
+                found.append(self._state(entry_id, key, record, ""))
+        return found
+
+    def _holders(self, key: str) -> list[str]:
+        candidates = self._table.candidates[bucket_of(key.encode())][:2]
+        return [name for name in candidates if name != self._name]
+
+    def _backup(self, key: str) -> str | None:
+        candidates = self._table.candidates[bucket_of(key.encode())]
+        return candidates[1] if len(candidates) > 1 else None
+
+    def _state(self, entry_id: int, key: str, record: KeyRecord, claim_id: str) -> KeyState:
+        return KeyState(
+            entry_id=entry_id,
+            key=key,
+            fingerprint=record.fingerprint,
+            owner=record.owner,
+            ended=record.ended.is_set(),
+            start=record.start,
+            body=record.body,
+            refusal=record.refusal,
+            claim_id=claim_id,
+        )
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in ms since 1970."""
+    return time.time_ns() // NS_PER_MS
--- a/lentilcourse/agent/peers.py
+++ b/lentilcourse/agent/peers.py
@@ -124,6 +124,11 @@
         if peer is not None:
             peer.send(msg)
 
+    def is_connected(self, name: str) -> bool:
+        """Return whether the stream to a peer is open."""
+        peer = self._peers.get(name)
+        return peer is not None and peer.connected
+
     def broadcast(self, msg: object) -> None:
         """Queue a message for every peer."""
         with self._lock:
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -14,6 +14,8 @@
 
 from lentilcourse.agent.admission import cold_limit
 from lentilcourse.agent.idempotency import AnswerStore, KeyRecord, KeyRecords, fingerprint
+from lentilcourse.agent.key_history import KeyVerdict
+from lentilcourse.agent.key_replication import KeyReplication
 from lentilcourse.agent.slots import SlotQueue
 from lentilcourse.agent.target import TargetHealth, TargetMonitor
 from lentilcourse.agent.target_client import (
@@ -21,7 +23,6 @@
     NotDeliveredError,
     TargetExchange,
 )
-from lentilcourse.buckets import bucket_of, build_table
 from lentilcourse.errors import PoolFullError, StreamError, TargetFailedError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages import (
@@ -51,6 +52,7 @@
 CREDIT_CHUNKS: Final = 16
 CREDIT_WAIT_S: Final = 30.0
 STORED_WAIT_S: Final = 30.0
+OUTCOME_POLL_S: Final = 0.1
 DRAIN_TIMEOUT_S: Final = 30.0
 ANSWER_SMOOTHING: Final = 0.2
 MS_PER_S: Final = 1000.0
@@ -107,10 +109,13 @@
         monitor: TargetMonitor,
         lifecycle: Lifecycle,
         refusals: RefusalCounts,
+        records: KeyRecords,
+        keys: KeyReplication,
     ) -> None:
         self.counts = AgentRequestCounts()
         self.slots = SlotQueue(limit=1)
-        self.records = KeyRecords()
+        self.records = records
+        self._keys = keys
         self.answer_ms = 0.0
         self._name = name
         self._copy = copy
@@ -215,34 +220,38 @@
         self._send(job.stream, self.evidence())
 
     def _run_keyed(self, job: Job) -> Refusal | None:
-        if not self._is_key_home(job.req.idempotency_key):
-            return job.refuse(Cause.NOT_HOME, RAN_NO)
-        record, first = self.records.claim(job.req)
+        if self.records.find(job.req) is None:
+            verdict = self._keys.judge(job.req.idempotency_key)
+            if verdict is KeyVerdict.MAYBE_USED:
+                return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
+            if verdict is not KeyVerdict.NEW:
+                return job.refuse(Cause.NOT_HOME, RAN_NO)
+        record, first = self.records.claim(job.req, self._name)
         if not first:
             return self._replay(job, record)
         job.store = AnswerStore(record=record)
-        refusal = self._run_admitted(job)
+        refusal = self._run_claimed(job, record)
         if refusal is not None and refusal.ran == RAN_NO:
             self.records.release(job.req, record)
+            self._keys.release(job.req)
         record.refusal = refusal
         record.ended.set()
+        if refusal is None or refusal.ran != RAN_NO:
+            self._keys.publish(job.req, record)
         return refusal
 
-    def _is_key_home(self, key: str) -> bool:
-        state = self._copy.current
-        own = state.targets.get(self._name)
-        if own is None:
-            return False
-        return build_table(state, own.service).home(bucket_of(key.encode())) == self._name
+    def _run_claimed(self, job: Job, record: KeyRecord) -> Refusal | None:
+        if not self._keys.claim(job.req, record):
+            return job.refuse(Cause.BACKUP_UNREACHABLE, RAN_NO)
+        return self._run_admitted(job)
 
     def _replay(self, job: Job, record: KeyRecord) -> Refusal | None:
         if record.fingerprint != fingerprint(job.req):
             return job.refuse(Cause.KEY_REUSED, RAN_NO)
-        wait_s = min(STORED_WAIT_S, job.deadline - time.monotonic())
-        if not record.ended.wait(timeout=max(0.0, wait_s)):
-            return job.refuse(Cause.DEADLINE, RAN_UNKNOWN)
+        if not self._await_outcome(job, record):
+            return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
         if record.refusal is not None:
-            return attrs.evolve(record.refusal, ran=record.refusal.ran)
+            return record.refusal
         if record.start is None or record.body is None:
             return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
         self.counts.replayed += 1
@@ -251,6 +260,14 @@
         self._send(job.stream, AnswerChunk(request_id=request_id, data=record.body, last=True))
         return None
 
+    def _await_outcome(self, job: Job, record: KeyRecord) -> bool:
+        """Wait until the outcome of a record is known; returns False if it will not be."""
+        wait_until = min(job.deadline, time.monotonic() + STORED_WAIT_S)
+        while not record.ended.wait(timeout=OUTCOME_POLL_S):
+            if not self._keys.owner_runs(record) or time.monotonic() >= wait_until:
+                return False
+        return True
+
     def _run_admitted(self, job: Job) -> Refusal | None:
         refusal = self._admit(job)
         if refusal is not None:
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -11,19 +11,24 @@
 from lentilcourse.agent.delivery import DELIVERY_PLUGINS
 from lentilcourse.agent.flow_loop import TICK_S, FlowLoop
 from lentilcourse.agent.flow_plane import FlowPlane
-from lentilcourse.agent.peers import AgentPeers
+from lentilcourse.agent.idempotency import KeyRecords
+from lentilcourse.agent.key_replication import KeyReplication
+from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.agent.request_plane import MAX_REQUEST_TASKS, RequestPlane
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.feed import feed_subscriber
 from lentilcourse.messages import (
     Announcement,
+    ClaimAcknowledged,
     EntryUsage,
     FlowLoad,
     ForgetFlows,
+    KeysComplete,
+    KeyState,
     RecoveredFlows,
-    RecoverFlows,
     RegisterFlows,
     RegistrationComplete,
+    ReleaseKey,
     Report,
     Subscribe,
 )
@@ -34,12 +39,13 @@
 from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, Stream, StreamListener
 from lentilcourse.subscription import StateCopy, Subscription
 
+KEY_MESSAGES: Final = (KeyState, ClaimAcknowledged, ReleaseKey, KeysComplete)
 PEER_MESSAGES: Final = (
+    *KEY_MESSAGES,
     RegisterFlows,
     ForgetFlows,
     RegistrationComplete,
     FlowLoad,
-    RecoverFlows,
     RecoveredFlows,
 )
 
@@ -73,15 +79,20 @@
             refusals=self.refusals,
             rng=random.Random(),
         )
-        self.flows.peers = AgentPeers(
-            name=self.name, identity=identity, lifecycle=lifecycle, greet=self.flows.greet
+        peers = AgentPeers(
+            name=self.name, identity=identity, lifecycle=lifecycle, greet=self._greet
         )
+        self.flows.peers = peers
+        records = KeyRecords()
+        self.keys = KeyReplication(name=self.name, records=records, peers=peers)
         self.requests = RequestPlane(
             name=self.name,
             copy=self.copy,
             monitor=self.monitor,
             lifecycle=lifecycle,
             refusals=self.refusals,
+            records=records,
+            keys=self.keys,
         )
         self.listener = StreamListener(
             name=self.name,
@@ -124,10 +135,11 @@
         if not isinstance(first, PEER_MESSAGES):
             self.requests.serve(stream, first)
             return
+        msg: object = first
         try:
-            self.flows.on_message(first, stream.peer, time.monotonic())
             while not self.lifecycle.stopped.is_set():
-                self.flows.on_message(stream.receive(), stream.peer, time.monotonic())
+                self._take_peer_message(msg, stream.peer, time.monotonic())
+                msg = stream.receive()
         finally:
             self.flows.on_peer_lost(stream.peer)
 
@@ -150,9 +162,20 @@
         )
         return attrs.evolve(announcement, version=state.version, usage=usage)
 
+    def _take_peer_message(self, msg: object, peer: str, now: float) -> None:
+        if isinstance(msg, KEY_MESSAGES):
+            self.keys.on_message(msg, peer)
+        else:
+            self.flows.on_message(msg, peer, now)
+
+    def _greet(self, peer: AgentPeer, now: float) -> None:
+        self.flows.greet(peer, now)
+        self.keys.greet(peer, now)
+
     def _on_state(self, state: State, now: float) -> None:
         self.flows.on_state(state, now)
         self.requests.on_state(self._former, state, now)
+        self.keys.on_state(self._former, state)
         self._former = state
 
     def _run_ticks(self) -> None:
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -50,7 +50,8 @@
 
 ANSWER_POLL_S: Final = 0.1
 CREDIT_STEP_CHUNKS: Final = 4
-MAX_ATTEMPTS: Final = 6
+MAX_ATTEMPTS: Final = 8
+MAX_RETRY_PAUSE_S: Final = 0.5
 RETRY_PAUSE_S: Final = 0.02
 MAX_KEY_BYTES: Final = 128
 MAX_TIMEOUT_MS: Final = 24 * 3600 * 1000
@@ -233,7 +234,7 @@
             if not self._may_retry(work, refusal, attempt, time.monotonic()):
                 break
             self.counts.retries += 1
-            time.sleep(RETRY_PAUSE_S * 2 ** len(tried))
+            time.sleep(min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2 ** len(tried)))
         raise RequestRefusedError(final_refusal(refusals, work.entry.name))
 
     def _next_target(self, work: Work, tried: list[str], limited: set[str]) -> Target | None:
--- a/lentilcourse/buckets.py
+++ b/lentilcourse/buckets.py
@@ -63,11 +63,12 @@
 def build_table(state: State, service: str) -> BucketTable:
     """Return the bucket table of a service at a state."""
     names = tuple(target.name for target in eligible_targets(state, service))
-    return _table_of(service, names)
+    return rendezvous_table(service, names)
 
 
 @lru_cache(maxsize=4096)
-def _table_of(service: str, names: tuple[str, ...]) -> BucketTable:
+def rendezvous_table(service: str, names: tuple[str, ...]) -> BucketTable:
+    """Return the table of a service whose eligible targets have the given names."""
     if not names:
         return EMPTY_TABLE
     return BucketTable(
--- a/lentilcourse/lab/cluster.py
+++ b/lentilcourse/lab/cluster.py
@@ -68,6 +68,7 @@
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._cold_s = cold_s
+        self._absent = 0
         write_files(layout, folder)
 
     @property
@@ -80,15 +81,17 @@
         """A client in the name of the second operator."""
         return OperatorClient(settings=load_settings(str(self.folder / "operator-2.ini")))
 
-    def start_all(self) -> None:
-        """Start everything and wait until it serves."""
+    def start_all(self, without_targets: tuple[str, ...] = ()) -> None:
+        """Start everything but some targets and wait until it serves."""
         self.start_controllers()
         self.create_entries()
         for name in self.layout.balancers():
             self.start_daemon(name)
         for place in self.layout.targets():
             self.start_daemon(place.name)
-            self.start_target(place)
+            if place.name not in without_targets:
+                self.start_target(place)
+        self._absent = len(without_targets)
         self.wait_ready()
 
     def start_controllers(self) -> None:
@@ -222,7 +225,7 @@
         except LentilcourseError:
             return False
         expected = len(self.layout.targets()) + len(self.layout.balancers())
-        joined = len(state.targets) == len(self.layout.targets())
+        joined = len(state.targets) == len(self.layout.targets()) - self._absent
         serving = joined and not any(target.lost for target in state.targets.values())
         versions = {report.version for report in reports}
         return serving and len(reports) == expected and versions == {state.version}
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -591,9 +591,13 @@
 @message
 @attrs.frozen(kw_only=True)
 class RegisterFlows:
-    """The owner registers flows with their home; a resend changes nothing."""
+    """The owner registers flows with their home; a resend changes nothing.
+
+    `version` is the state version in force at the owner.
+    """
 
     owner: str
+    version: int
     flows: tuple[FlowRecord, ...]
 
 
@@ -615,22 +619,16 @@
     version: int
 
 
-@message
-@attrs.frozen(kw_only=True)
-class RecoverFlows:
-    """An agent that restarted asks for the flows that its target still holds."""
-
-    owner: str
-    incarnation: str
-
-
 @message
 @attrs.frozen(kw_only=True)
 class RecoveredFlows:
-    """Flows recorded for an owner; `last` ends the answer."""
+    """Flows that the sender has recorded for the receiver, which may have lost its memory.
+
+    `incarnation` is the run of the receiver's target that the flows belong to.
+    """
 
+    incarnation: str
     flows: tuple[FlowRecord, ...]
-    last: bool
 
 
 @message
@@ -641,3 +639,63 @@
     owner: str
     flows: int
     limit: int
+
+
+# Records of idempotency keys between agents.
+
+
+@message
+@attrs.frozen(kw_only=True)
+class KeyState:
+    """One recorded key, as its owner knows it.
+
+    Attributes:
+        entry_id: entry of the request.
+        key: idempotency key.
+        fingerprint: digest of the request.
+        owner: target whose agent runs the request.
+        ended: whether the outcome is known.
+        start: start of the stored answer.
+        body: body of the stored answer.
+        refusal: refusal that was the outcome.
+        claim_id: set when the owner waits for `ClaimAcknowledged`.
+    """
+
+    entry_id: int
+    key: str
+    fingerprint: bytes
+    owner: str
+    ended: bool
+    start: AnswerStart | None
+    body: bytes | None
+    refusal: Refusal | None
+    claim_id: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class ClaimAcknowledged:
+    """The backup has recorded a key."""
+
+    claim_id: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class ReleaseKey:
+    """The request under a key provably did not run."""
+
+    entry_id: int
+    key: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class KeysComplete:
+    """The sender has handed over all records that the receiver should hold.
+
+    `lost_ms` is the wall-clock time in ms before which the sender may have lost keys.
+    """
+
+    version: int
+    lost_ms: int
--- a/lentilcourse/operator_client.py
+++ b/lentilcourse/operator_client.py
@@ -120,8 +120,9 @@
             time.sleep(WAIT_POLL_S)
 
     def audit(self, req: AuditRequest) -> tuple[AuditRecord, ...]:
-        """Return matching records of the audit trail."""
-        return self._any(req, AuditReply).records
+        """Return matching records of the audit trail, from the controller that has most of it."""
+        furthest = max(self.statuses(), key=lambda status: status.commit_index)
+        return self._one(furthest.name, req, AuditReply).records
 
     def bootstrap(self) -> Membership:
         """Make the configured controllers one group; repeating it finishes a broken try."""
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -44,6 +44,7 @@
     BALANCER_FULL = "balancer-full"
     NOT_HOME = "not-key-home"
     KEY_HISTORY_LOST = "key-history-lost"
+    BACKUP_UNREACHABLE = "backup-unreachable"
     KEY_REUSED = "key-reused"
     STOPPING = "stopping"
     LOOP = "no-owner-found"
