--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install demo test bench
+.PHONY: install demo test bench prove
 
 install: $(VENV)/.installed
 
@@ -19,5 +19,8 @@
 test: install
 	$(PYTHON) tools/run_checks.py
 
+prove: install
+	$(PYTHON) tools/prove.py
+
 bench: install
 	$(PYTHON) -m lentilcourse.lab.bench
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,11 +8,16 @@
 import sys
 from pathlib import Path
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 
 sys.path.insert(0, str(Path(__file__).parent))
 
-settings.register_profile("deterministic", derandomize=True, deadline=None, database=None)
+phases = [Phase.explicit, Phase.generate]
+if "LENTILCOURSE_NO_SHRINK" not in os.environ:
+    phases.append(Phase.shrink)
+settings.register_profile(
+    "deterministic", derandomize=True, deadline=None, database=None, phases=phases
+)
 settings.load_profile("deterministic")
 
 FIRST_NETWORK = 100
--- a/lentilcourse/balancer/packet_path.py
+++ b/lentilcourse/balancer/packet_path.py
@@ -102,15 +102,22 @@
     def run(self) -> None:
         """Forward packets until the process has stopped."""
         stopped = self._lifecycle.stopped
-        receive = self._socket.recvfrom
         while not stopped.is_set():
             try:
-                datagram, source = receive(MAX_DATAGRAM_BYTES)
+                self.carry_one()
             except TimeoutError:
                 continue
             except OSError:
                 return
-            self._forward(datagram, source)
+
+    def carry_one(self) -> None:
+        """Wait for one datagram and carry it; raises `TimeoutError` if none comes."""
+        datagram, source = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        self._forward(datagram, source)
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
 
     def _forward(self, datagram: bytes, source: tuple[str, int]) -> None:
         counts = self.counts
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -18,7 +18,7 @@
 from lentilcourse.options import Settings, load_settings
 from lentilcourse.plugins import load_plugins
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
-from lentilcourse.streams import start_heartbeats
+from lentilcourse.streams import TRAFFIC, start_heartbeats
 
 EXIT_FAILED: Final = 1
 EXIT_SETTINGS: Final = 2
@@ -56,6 +56,7 @@
         admin.add_metrics(metrics)
         context = ProcessContext(settings=cfg, lifecycle=lifecycle, metrics=metrics, admin=admin)
         start_heartbeats(lifecycle)
+        metrics.counters_of("lentilcourse.stream_bytes", TRAFFIC)
         ROLE_PLUGINS.get(cfg.process.role)(context)
         admin.start()
     except (LentilcourseError, OSError) as exc:
--- a/lentilcourse/lab/cluster.py
+++ b/lentilcourse/lab/cluster.py
@@ -171,6 +171,17 @@
                 counts.update(path.read_text(encoding="utf-8").split("\n")[:-1])
         return counts
 
+    def stream_bytes(self, name: str) -> float:
+        """Return the bytes that a process has sent and received on streams."""
+        address = load_settings(str(self.folder / f"{name}.ini")).process.admin_address
+        assert address is not None
+        conn = HTTPConnection(address.host, address.port, timeout=5.0)
+        conn.request("GET", "/metrics")
+        lines = conn.getresponse().read().decode().splitlines()
+        conn.close()
+        found = [line for line in lines if line.startswith("lentilcourse_stream_bytes_")]
+        return sum(float(line.split()[-1]) for line in found)
+
     def control_target(self, name: str, what: str, value: float = 0.0) -> None:
         """Tell a target stand-in to turn cold, drain or lie."""
         self._get(name, f"/control/{what}?value={value}")
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -113,6 +113,7 @@
                 text = error_texts.STREAM_FAILED.format(peer=self.peer, cause=exc)
                 raise StreamClosedError(text) from exc
             self._last_sent = time.monotonic()
+            TRAFFIC.sent += len(packed)
 
     def receive(self) -> object:
         """Return the next message that is no heartbeat; raises `StreamError`."""
@@ -158,6 +159,7 @@
         except OSError:
             self.close()
             return
+        TRAFFIC.sent += sent
         if sent != len(packed):
             self.close()
 
@@ -192,6 +194,7 @@
             self.close()
             text = error_texts.STREAM_FAILED.format(peer=self.peer, cause=exc)
             raise StreamClosedError(text) from exc
+        TRAFFIC.received += len(data)
         if not data:
             self.close()
             raise StreamClosedError(error_texts.STREAM_CLOSED.format(peer=self.peer))
@@ -279,6 +282,17 @@
     return hmac.digest(key, text, "sha256")
 
 
+@attrs.define(kw_only=True)
+class StreamTraffic:
+    """Bytes on all streams of the process since its start."""
+
+    sent: int = 0
+    received: int = 0
+
+
+TRAFFIC: Final = StreamTraffic()
+
+
 class HeartbeatSender:
     """One task that sends the heartbeats of all streams of the process."""
 
