--- a/features/control.feature
+++ b/features/control.feature
@@ -8,6 +8,7 @@
       | consensus.log_never_reverts           |
       | consensus.quorum                      |
       | consensus.torn_log_never_votes        |
+      | consensus.short_log_never_leads       |
       | consensus.second_loss_after_repair    |
       | consensus.silent_leader_steps_down    |
       | consensus.return_needs_no_election    |
--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -394,7 +394,9 @@
     machine = group()
     machine.propose(count=2, cut="c", wait=True)
     assert machine.stores["b"].last_index > machine.stores["c"].last_index
-    machine.tear_log("b", 150)
+    raw = (machine.folders["b"] / "log").read_bytes()
+    machine.tear_log("b", len(raw) - scan_records(raw).offsets[-2] - 5)
+    assert machine.stores["b"].last_index <= machine.stores["c"].last_index
     machine.net.clear()
     machine.now += 10
     for _ in range(5):
@@ -411,6 +413,22 @@
     machine.teardown()
 
 
+@prop("consensus.short_log_never_leads")
+def check_short_log():
+    """A replica that lacks committed entries gets no vote from one that has them."""
+    machine = group()
+    machine.propose(count=2, cut="c", wait=True)
+    for _ in range(5):
+        machine.now += 10
+        machine.replicas["c"].tick(machine.now)
+        machine.settle("a")
+    assert machine.replicas["c"].role is not Role.LEADER
+    machine.elect("b", "a")
+    assert machine.replicas["b"].role is Role.LEADER
+    machine.accepted_changes_stay()
+    machine.teardown()
+
+
 @prop("consensus.second_loss_after_repair")
 def check_second_loss():
     """Nothing is lost when a second folder goes right after the first was repaired."""
--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from collections.abc import Callable
 from typing import Final, TypeAlias
+from urllib.parse import parse_qs
 
 import attrs
 import h11
@@ -18,6 +20,7 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Address
+from lentilcourse.refusals import RefusalCounts
 from lentilcourse.streams import bind_tcp
 
 MAX_CONNECTIONS: Final = 32
@@ -57,6 +60,18 @@
 
         self.add_route("GET", "/metrics", read)
 
+    def add_refusals(self, refusals: RefusalCounts) -> None:
+        """Serve refusals by their id, at /refusal?id=ID."""
+
+        def read(req: HttpRequest) -> AdminAnswer:
+            query = req.target.partition(b"?")[2].decode("ascii", "replace")
+            found = refusals.find(parse_qs(query).get("id", [""])[0])
+            if found is None:
+                return AdminAnswer(status=404, body=b'{"error": "no such refusal here"}')
+            return AdminAnswer(body=json.dumps(attrs.asdict(found)).encode())
+
+        self.add_route("GET", "/refusal", read)
+
     def start(self) -> None:
         """Start accepting connections."""
         if self._address is None:
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -119,6 +119,7 @@
         self._former = State()
         self.copy.listen(self._on_state)
         self.monitor.add_routes(context.admin)
+        context.admin.add_refusals(self.refusals)
         self.monitor.on_change = self.subscription.send_report
         lifecycle.on_drain(self._stop_taking)
         lifecycle.on_drain(self.requests.drain)
@@ -199,6 +200,7 @@
             flows=len(self.flows.flows),
             requests=self.requests.in_flight,
             refusals=self.refusals.read(),
+            admin_address=str(self.settings.process.admin_address),
         )
 
 
--- a/lentilcourse/balancer/role.py
+++ b/lentilcourse/balancer/role.py
@@ -43,6 +43,7 @@
             version=copy.current.version,
             requests=requests.in_flight,
             refusals=refusals.read(),
+            admin_address=str(settings.process.admin_address),
         )
 
     subscription = Subscription(
@@ -55,6 +56,7 @@
         rng=random.Random(),
     )
     copy.listen(packets.on_state)
+    context.admin.add_refusals(refusals)
     lifecycle.on_drain(requests.drain)
     _add_metrics(context.metrics, packets, requests, copy, refusals)
     tasks = lifecycle.pool(name="balancer", limit=2)
--- a/lentilcourse/client.py
+++ b/lentilcourse/client.py
@@ -17,6 +17,7 @@
 COMMAND_MODULES: Final = (
     "lentilcourse.commands.catalogue",
     "lentilcourse.commands.controllers",
+    "lentilcourse.commands.declared",
     "lentilcourse.commands.domains",
     "lentilcourse.commands.inspection",
 )
--- a/lentilcourse/commands/inspection.py
+++ b/lentilcourse/commands/inspection.py
@@ -3,16 +3,28 @@
 from __future__ import annotations
 
 import datetime
+from http.client import HTTPConnection, HTTPException
+from json import loads
+from typing import Final
+from urllib.parse import urlencode
+
+import cattrs
 
 from lentilcourse.commands import COMMANDS
 from lentilcourse.commands.output import (
     DEFAULT_SETTINGS,
+    EXIT_FAILED,
+    fail,
     guarded,
     open_client,
     print_json,
     print_table,
 )
-from lentilcourse.messages import AuditRequest
+from lentilcourse.messages import AuditRequest, Refusal
+from lentilcourse.operator_client import OperatorClient
+from lentilcourse.refusals import describe
+
+ADMIN_TIMEOUT_S: Final = 2.0
 
 
 @COMMANDS.register("status")
@@ -90,6 +102,47 @@
     guarded(run)
 
 
+@COMMANDS.register("why")
+def explain_refusal(refusal_id: str, *, settings: str = DEFAULT_SETTINGS) -> None:
+    """Say why one refusal was made: the owner's limit, or the system's cause.
+
+    :param refusal_id: the id that the refusal carried
+    :param settings: settings file of the operator
+    """
+
+    def run() -> None:
+        client = open_client(settings)
+        for report in client.reports():
+            found = _ask_refusal(report.admin_address, refusal_id)
+            if found is not None:
+                _print_refusal(client, report.name, found)
+                return
+        fail("no process remembers that refusal; each keeps its last few thousand", EXIT_FAILED)
+
+    guarded(run)
+
+
+def _ask_refusal(address: str, refusal_id: str) -> Refusal | None:
+    conn = HTTPConnection(address, timeout=ADMIN_TIMEOUT_S)
+    try:
+        conn.request("GET", f"/refusal?{urlencode({'id': refusal_id})}")
+        answer = conn.getresponse()
+        body = answer.read()
+        return cattrs.structure(loads(body), Refusal) if answer.status == 200 else None
+    except (OSError, HTTPException):
+        return None
+    finally:
+        conn.close()
+
+
+def _print_refusal(client: OperatorClient, process: str, refusal: Refusal) -> None:
+    rows = [("refused by", process), ("because", describe(refusal)), ("ran", refusal.ran)]
+    entry = client.state().entries.get(refusal.entry)
+    if entry is not None:
+        rows += [("entry", entry.name), ("owner", entry.owner), ("limits now", str(entry.limits))]
+    print_table(("question", "answer"), rows)
+
+
 @COMMANDS.register("audit")
 def search_audit(
     *,
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -307,6 +307,7 @@
         flows: open flows that it owns.
         requests: requests in flight.
         refusals: refusals by reason since its start.
+        admin_address: its admin listener, IP:PORT.
         age_ms: time since the report came in, set by the controller.
     """
 
@@ -317,6 +318,7 @@
     flows: int = 0
     requests: int = 0
     refusals: dict[str, int] = attrs.field(factory=dict)
+    admin_address: str = ""
     age_ms: int = 0
 
 
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -9,7 +9,7 @@
 import enum
 import json
 import threading
-from collections import Counter
+from collections import Counter, OrderedDict
 from typing import Final
 
 from lentilcourse import error_texts
@@ -50,6 +50,8 @@
     LOOP = "no-owner-found"
 
 
+MAX_REMEMBERED: Final = 5_000
+
 HTTP_STATUS: Final = {
     Cause.BAD_REQUEST: 400,
     Cause.UNKNOWN_ENTRY: 404,
@@ -64,21 +66,26 @@
 
 
 class RefusalCounts:
-    """Counts refusals by reason and cause."""
+    """Counts refusals by reason and cause, and remembers the last ones by their id."""
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._counts: Counter[str] = Counter()
+        self._last: OrderedDict[str, Refusal] = OrderedDict()
 
     def add(self, refusal: Refusal) -> None:
         """Count one refusal."""
         detail = refusal.limit if refusal.reason == REASON_OWNER_LIMIT else refusal.cause
-        self.add_label(f"{refusal.reason}:{detail}:{refusal.ran}")
+        with self._lock:
+            self._counts[f"{refusal.reason}:{detail}:{refusal.ran}"] += 1
+            self._last[refusal.refusal_id] = refusal
+            if len(self._last) > MAX_REMEMBERED:
+                self._last.popitem(last=False)
 
-    def add_label(self, label: str) -> None:
-        """Count one refusal under a ready label."""
+    def find(self, refusal_id: str) -> Refusal | None:
+        """Return a refusal that is still remembered."""
         with self._lock:
-            self._counts[label] += 1
+            return self._last.get(refusal_id)
 
     def read(self) -> dict[str, int]:
         """Return a copy of the counts."""
