Poll before looking whether a caller has left, and let buckets move before an agent stops

Cause: (1) a socket with a timeout waits for it even with MSG_DONTWAIT, so the look whether the caller had left blocked for up to 10 s and then took silence for a closed connection: large and queued answers were dropped. Ruled out: slots and queue (the target was idle), the retry pause alone. Change: poll first; confirmations of keys are kept with their version; an agent that stops is marked at once, hands over and then ends; attempts that cost a target nothing wait up to 5 s instead of drawing on the retry budget.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -76,6 +76,12 @@
     And the entry of the flows is deleted and its address given to "inspection"
     Then no target of "ordering" gets a packet that was sent later
 
+  Scenario: A balancer with an old table brings no packet to the former service
+    Given a small deployment with flows and requests
+    When 30 flows are opened
+    And the address is given to "inspection" while "balancer-1" is frozen, which then goes on
+    Then no target of "ordering" has got a packet since then
+
   Scenario: An owner's limit of open flows holds over all agents together
     Given a small deployment with flows and requests
     When the operator limits "price-board" to 25 open flows
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -201,6 +201,7 @@
         self.wall_ms = 1_000_000_000_000
         self.members = list(NAMES)
         self.dead = set()
+        self.version = 0
         self.runs = {}
         self.keys = []
         self.records = {name: KeyRecords() for name in NAMES}
@@ -215,12 +216,14 @@
     def spread(self, first=False):
         """Let all learn the table, hand over and confirm, as connected agents do."""
         table = self.table()
+        self.version += 1
         for name in self.members:
             if name not in self.dead:
                 live = frozenset(self.members) - self.dead - {name}
                 self.history[name].on_table(
                     table,
                     live,
+                    version=self.version,
                     restarted=not first and name not in self.former,
                     jumped=False,
                     wall_ms=self.wall_ms,
@@ -235,7 +238,7 @@
         for (entry_id, key), record in self.records[name].items():
             if peer in table.candidates[bucket_of(key.encode())][:2]:
                 self.records[peer].merge(key_state(entry_id, key, record))
-        self.history[peer].confirm(name, self.history[name].lost_ms())
+        self.history[peer].confirm(name, self.version, self.history[name].lost_ms())
 
     @rule(fresh=st.booleans(), index=st.integers(0, 20), ordered=st.booleans())
     def send(self, fresh, index, ordered):
@@ -290,6 +293,8 @@
             self.records[name] = KeyRecords()
             self.history[name] = KeyHistory(name=name)
             self.former.pop(name, None)
+            for each in self.history.values():
+                each.revoke(name)
             self.spread()
 
 
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -277,19 +277,55 @@
     deployment.run_flows(0.5)
 
 
+def service_messages(deployment, service):
+    """Return the packets that each target of a service has got."""
+    return {
+        each.name: deployment.cluster.target_stats(each.name)["messages"]
+        for each in deployment.cluster.layout.targets()
+        if each.service.name == service
+    }
+
+
+@when('the address is given to "{service}" while "{balancer}" is frozen, which then goes on')
+def reuse_behind_back(context, service, balancer):
+    """Reuse the address while a balancer hears nothing, and let it send by its old table."""
+    deployment = context.deployment
+    client = deployment.cluster.operator
+    deployment.cluster.signal(balancer, signal.SIGSTOP)
+    version = client.state().entries["price-board"].version
+    assert is_accepted(client.change(DeleteEntry(name="price-board"), version))
+    action = PutEntry(
+        name="price-board",
+        service=service,
+        owner="millers-desk",
+        traffic_class="bulk",
+        protocol="udp",
+        address=BOARD,
+    )
+    outcome = client.change(action, 0)
+    assert is_accepted(outcome)
+    assert client.wait_in_force(outcome.version, 5.0) == [balancer]
+    context.messages = service_messages(deployment, "ordering")
+    deployment.run_flows(2.0)
+    deployment.cluster.signal(balancer, signal.SIGCONT)
+    deployment.run_flows(2.0)
+
+
+@then('no target of "{service}" has got a packet since then')
+def none_since(context, service):
+    """Compare the targets' message counts."""
+    assert service_messages(context.deployment, service) == context.messages
+
+
 @then('no target of "{service}" gets a packet that was sent later')
 def former_service_quiet(context, service):
     """Compare the former targets' message counts while old and new flows send."""
     deployment = context.deployment
-    names = [
-        each.name for each in deployment.cluster.layout.targets() if each.service.name == service
-    ]
-    before = [deployment.cluster.target_stats(name)["messages"] for name in names]
+    before = service_messages(deployment, service)
     for _ in range(20):
         deployment.fabric.open_flow(BOARD, time.monotonic())
     deployment.run_flows(3.0)
-    after = [deployment.cluster.target_stats(name)["messages"] for name in names]
-    assert before == after
+    assert service_messages(deployment, service) == before
     fresh = [flow for flow in deployment.fabric.flows.values() if flow.state == "open"]
     assert any(flow.owner.startswith(b"inspection|") for flow in fresh)
 
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -15,6 +15,7 @@
 
 PROBE_WAIT_S: Final = 0.4
 LOST_WAIT_S: Final = 2.5
+PLANNED_STOP_WAIT_S: Final = 30.0
 PROBE_LIFE_S: Final = 5.0
 
 
@@ -26,6 +27,7 @@
         self._home_since = [0] * BUCKETS
         self._complete: dict[str, int] = {}
         self._lost_since: dict[str, float] = {}
+        self._planned: set[str] = set()
         self._probes: dict[bytes, float] = {}
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
@@ -44,6 +46,7 @@
                 self._lost_since.pop(name, None)
             elif name not in self._lost_since:
                 self._lost_since[name] = now
+        self._planned = {name for name, peer in new.peers.items() if peer.planned_stop}
         for name in old.peers.keys() - new.peers.keys():
             self._complete.pop(name, None)
 
@@ -69,11 +72,13 @@
     def presumed_dead(self, peer: str, now: float) -> bool:
         """Return whether a peer's flows are given up.
 
-        Its lease must have expired for `LOST_WAIT_S`, and the own stream to it be gone too: an
-        agent that is only cut off from the controllers keeps its flows.
+        Its lease must have expired for `LOST_WAIT_S`, or `PLANNED_STOP_WAIT_S` after a planned
+        stop, and the own stream to it be gone too: an agent that is only cut off from the
+        controllers keeps its flows.
         """
         lost_since = self._lost_since.get(peer)
-        if lost_since is None or now - lost_since <= LOST_WAIT_S:
+        wait_s = PLANNED_STOP_WAIT_S if peer in self._planned else LOST_WAIT_S
+        if lost_since is None or now - lost_since <= wait_s:
             return False
         return not self._connected(peer)
 
--- a/lentilcourse/agent/key_history.py
+++ b/lentilcourse/agent/key_history.py
@@ -36,10 +36,12 @@
 
     Attributes:
         waits_for: peer whose records are still to come; empty for none.
+        waits_version: state version that the peer must have handed over at.
         lost_ms: wall-clock time before which keys may have been lost; `NEVER_LOST` for none.
     """
 
     waits_for: str = ""
+    waits_version: int = 0
     lost_ms: int = NEVER_LOST
 
 
@@ -51,12 +53,14 @@
         self._table = EMPTY_TABLE
         self._joined = False
         self._buckets = [BucketHistory() for _ in range(BUCKETS)]
+        self._confirmed: dict[str, tuple[int, int]] = {}
 
     def on_table(
         self,
         table: BucketTable,
         live: frozenset[str],
         *,
+        version: int,
         restarted: bool,
         jumped: bool,
         wall_ms: int,
@@ -73,16 +77,30 @@
             holds = self._name in table.candidates[bucket][:2]
             if holds and (jumped or not held):
                 source = self._source(old.candidates[bucket], table.candidates[bucket])
+                history.waits_version = version
                 self._take_over(history, source, live, restarted, wall_ms)
             if history.waits_for and history.waits_for not in live:
                 history.waits_for = ""
                 history.lost_ms = wall_ms
         self._joined = True
+        self._resolve()
 
-    def confirm(self, peer: str, lost_ms: int) -> None:
-        """Note that a peer has handed over all its records, and what it had lost itself."""
+    def confirm(self, peer: str, version: int, lost_ms: int) -> None:
+        """Note that a peer has handed over all its records as of a version.
+
+        `lost_ms` says what it had lost itself. It may come before the version is known here.
+        """
+        self._confirmed[peer] = (version, lost_ms)
+        self._resolve()
+
+    def revoke(self, peer: str) -> None:
+        """Forget a peer's confirmation, because its stream has ended."""
+        self._confirmed.pop(peer, None)
+
+    def _resolve(self) -> None:
         for history in self._buckets:
-            if history.waits_for == peer:
+            version, lost_ms = self._confirmed.get(history.waits_for, (-1, NEVER_LOST))
+            if history.waits_for and version >= history.waits_version:
                 history.waits_for = ""
                 history.lost_ms = max(history.lost_ms, lost_ms)
 
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -33,8 +33,11 @@
 class KeyReplication:
     """Records of keys at this agent, as home or backup."""
 
-    def __init__(self, *, name: str, records: KeyRecords, peers: AgentPeers) -> None:
+    def __init__(
+        self, *, name: str, agent_run: str, records: KeyRecords, peers: AgentPeers
+    ) -> None:
         self._name = name
+        self._agent_run = agent_run
         self._records = records
         self._peers = peers
         self._lock = threading.Lock()
@@ -50,7 +53,7 @@
         if own is None:
             return
         members = new.service_targets(own.service)
-        restarted = old.version == 0 or self._name in old.targets
+        restarted = own.agent_restarts > 0 or own.agent_run != self._agent_run
         with self._lock:
             self._live = frozenset(
                 each.name for each in members if not each.lost and each.name != self._name
@@ -60,6 +63,7 @@
             self._history.on_table(
                 self._table,
                 self._live,
+                version=new.version,
                 restarted=restarted,
                 jumped=new.version > old.version + 1,
                 wall_ms=wall_clock_ms(),
@@ -131,7 +135,12 @@
     @on_message.register
     def _on_complete(self, msg: KeysComplete, peer: str) -> None:
         with self._lock:
-            self._history.confirm(peer, msg.lost_ms)
+            self._history.confirm(peer, msg.version, msg.lost_ms)
+
+    def on_peer_lost(self, name: str) -> None:
+        """Note that the incoming stream of a peer has ended."""
+        with self._lock:
+            self._history.revoke(name)
 
     def _hand_over(self, peer: str, former: BucketTable) -> None:
         for state in self._states_for(peer, former):
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -18,6 +18,7 @@
 from lentilcourse.agent.request_plane import MAX_REQUEST_TASKS, RequestPlane
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.feed import feed_subscriber
+from lentilcourse.ids import new_id
 from lentilcourse.messages import (
     Announcement,
     ClaimAcknowledged,
@@ -40,6 +41,9 @@
 from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, Stream, StreamListener
 from lentilcourse.subscription import StateCopy, Subscription
 
+HAND_OVER_TIMEOUT_S: Final = 3.0
+HAND_OVER_POLL_S: Final = 0.02
+HAND_OVER_FLUSH_S: Final = 0.3
 KEY_MESSAGES: Final = (KeyState, ClaimAcknowledged, ReleaseKey, KeysComplete)
 PEER_MESSAGES: Final = (
     *KEY_MESSAGES,
@@ -59,6 +63,7 @@
         cfg = settings.agent
         assert cfg is not None
         self.name = settings.process.name
+        self.agent_run = new_id()
         self.settings = settings
         self.lifecycle = lifecycle
         self.copy = StateCopy()
@@ -88,7 +93,9 @@
         )
         self.flows.peers = peers
         records = KeyRecords()
-        self.keys = KeyReplication(name=self.name, records=records, peers=peers)
+        self.keys = KeyReplication(
+            name=self.name, agent_run=self.agent_run, records=records, peers=peers
+        )
         self.requests = RequestPlane(
             name=self.name,
             copy=self.copy,
@@ -148,6 +155,7 @@
                 msg = stream.receive()
         finally:
             self.flows.on_peer_lost(stream.peer)
+            self.keys.on_peer_lost(stream.peer)
 
     def _announcement(self) -> Announcement | None:
         announcement = self.monitor.announcement()
@@ -166,7 +174,13 @@
             for entry in state.entries.values()
             if entry.service == announcement.service and entry.limits != Limits()
         )
-        return attrs.evolve(announcement, version=state.version, usage=usage)
+        return attrs.evolve(
+            announcement,
+            version=state.version,
+            usage=usage,
+            agent_run=self.agent_run,
+            stopping=self.lifecycle.stopping.is_set(),
+        )
 
     def _take_peer_message(self, msg: object, peer: str, now: float) -> None:
         if isinstance(msg, KEY_MESSAGES):
@@ -189,7 +203,17 @@
             self.requests.on_tick(time.monotonic())
 
     def _stop_taking(self) -> None:
+        """Take no new flows, and let the buckets move before the process ends."""
         self.flows.stopping = True
+        self.subscription.send_report()
+        deadline = time.monotonic() + HAND_OVER_TIMEOUT_S
+        while time.monotonic() < deadline and not self._moved_away():
+            time.sleep(HAND_OVER_POLL_S)
+        time.sleep(HAND_OVER_FLUSH_S)
+
+    def _moved_away(self) -> bool:
+        own = self.copy.current.targets.get(self.name)
+        return own is None or own.lost
 
     def _report(self) -> Report:
         return Report(
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -51,7 +51,7 @@
 ANSWER_POLL_S: Final = 0.1
 CREDIT_STEP_CHUNKS: Final = 4
 MAX_ATTEMPTS: Final = 8
-MAX_RETRY_PAUSE_S: Final = 0.5
+MAX_RETRY_PAUSE_S: Final = 0.25
 RETRY_PAUSE_S: Final = 0.02
 MAX_KEY_BYTES: Final = 128
 MAX_TIMEOUT_MS: Final = 24 * 3600 * 1000
@@ -75,6 +75,11 @@
     cause.value
     for cause in (Cause.KEY_REUSED, Cause.KEY_HISTORY_LOST, Cause.DEADLINE, Cause.CANCELLED)
 )
+MOVING_CAUSES: Final = frozenset(
+    cause.value
+    for cause in (Cause.AGENT_LOST, Cause.NOT_HOME, Cause.STOPPING, Cause.BACKUP_UNREACHABLE)
+)
+MOVE_WAIT_S: Final = 5.0
 DRAIN_TIMEOUT_S: Final = 30.0
 HEADER_TIMEOUT: Final = b"request-timeout-ms"
 HEADER_KEY: Final = b"idempotency-key"
@@ -219,6 +224,7 @@
         refusals: list[Refusal] = []
         tried: list[str] = []
         limited: set[str] = set()
+        started = time.monotonic()
         for attempt in itertools.count():
             target = self._next_target(work, tried, limited)
             if target is None:
@@ -231,10 +237,10 @@
                 limited.add(target.name)
                 continue
             tried.append(target.name)
-            if not self._may_retry(work, refusal, attempt, time.monotonic()):
+            if not self._may_retry(work, refusal, attempt, started, time.monotonic()):
                 break
             self.counts.retries += 1
-            time.sleep(min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2 ** len(tried)))
+            time.sleep(min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2 ** min(len(tried), MAX_ATTEMPTS)))
         raise RequestRefusedError(final_refusal(refusals, work.entry.name))
 
     def _next_target(self, work: Work, tried: list[str], limited: set[str]) -> Target | None:
@@ -311,13 +317,14 @@
                 self.counts.cancelled += 1
                 raise CallerLeftError(work.entry.name)
 
-    def _may_retry(self, work: Work, refusal: Refusal, attempt: int, now: float) -> bool:
-        return (
-            attempt + 1 < MAX_ATTEMPTS
-            and may_repeat(work.repeatable, work.keyed, refusal)
-            and now < work.deadline
-            and self._budget.take()
-        )
+    def _may_retry(
+        self, work: Work, refusal: Refusal, attempt: int, started: float, now: float
+    ) -> bool:
+        if now >= work.deadline or not may_repeat(work.repeatable, work.keyed, refusal):
+            return False
+        if costs_target_nothing(refusal):
+            return now - started < MOVE_WAIT_S
+        return attempt + 1 < MAX_ATTEMPTS and self._budget.take()
 
     def _refuse(self, conn: HttpServerConnection, refusal: Refusal) -> None:
         self._refusals.add(refusal)
@@ -346,6 +353,14 @@
     return system_refusal(Cause.NO_TARGET, RAN_NO, entry)
 
 
+def costs_target_nothing(refusal: Refusal) -> bool:
+    """Return whether an attempt ended before it could load a target.
+
+    Such attempts wait for buckets to move; they are bounded by time, not by the budget.
+    """
+    return refusal.ran == RAN_NO and refusal.cause in MOVING_CAUSES
+
+
 def may_repeat(repeatable: bool, keyed: bool, refusal: Refusal) -> bool:
     """Return whether a refused attempt may be followed by another.
 
--- a/lentilcourse/changes.py
+++ b/lentilcourse/changes.py
@@ -88,14 +88,19 @@
     stream_address: str
     slots: int
     connections: int
+    agent_run: str = ""
 
 
 @attrs.frozen(kw_only=True)
 class LoseTarget:
-    """Mark a target whose lease has expired; applies to the given incarnation only."""
+    """Mark a target whose lease has expired; applies to the given incarnation only.
+
+    `planned` says that its agent stops as planned and is expected back.
+    """
 
     name: str
     incarnation: str
+    planned: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -308,6 +313,8 @@
         stream_address=_checked_address("stream_address", action.stream_address),
         slots=_checked_range("slots", action.slots, 1, MAX_SLOTS),
         connections=_checked_range("connections", action.connections, 1, MAX_CONNECTIONS),
+        agent_run=action.agent_run,
+        agent_restarts=_agent_restarts(action, current) if same_run else 0,
     )
     if current and same_run and current.state is TargetState.DRAINING:
         joined = attrs.evolve(joined, state=TargetState.DRAINING)
@@ -323,7 +330,7 @@
     if current.lost:
         text = error_texts.TARGET_UNCHANGED.format(name=action.name, state="lost")
         raise InvalidChangeError("state", text)
-    return _target_delta(state, attrs.evolve(current, lost=True))
+    return _target_delta(state, attrs.evolve(current, lost=True, planned_stop=action.planned))
 
 
 @build_delta.register
@@ -346,6 +353,12 @@
     raise InvalidChangeError("key", action.reason)
 
 
+def _agent_restarts(action: JoinTarget, current: Target | None) -> int:
+    if current is None:
+        return 0
+    return current.agent_restarts + (action.agent_run != current.agent_run)
+
+
 def _target_delta(state: State, target: Target) -> StateDelta:
     version = state.version + 1
     return StateDelta(version=version, targets=(attrs.evolve(target, version=version),))
--- a/lentilcourse/controller/leases.py
+++ b/lentilcourse/controller/leases.py
@@ -70,6 +70,8 @@
     if announcement.leaving:
         same_run = current is not None and current.incarnation == announcement.incarnation
         return [RemoveTarget(name=name, incarnation=announcement.incarnation)] if same_run else []
+    if announcement.stopping:
+        return _stopping_actions(name, announcement, current)
     if current is not None and _agrees(announcement, current):
         return []
     return [
@@ -83,10 +85,19 @@
             stream_address=announcement.stream_address,
             slots=announcement.slots,
             connections=announcement.connections,
+            agent_run=announcement.agent_run,
         )
     ]
 
 
+def _stopping_actions(
+    name: str, announcement: Announcement, current: Target | None
+) -> list[Action]:
+    if current is None or current.lost or current.incarnation != announcement.incarnation:
+        return []
+    return [LoseTarget(name=name, incarnation=announcement.incarnation, planned=True)]
+
+
 def _agrees(announcement: Announcement, target: Target) -> bool:
     draining_known = target.state is TargetState.DRAINING or not announcement.draining
     return (
@@ -99,6 +110,7 @@
         and announcement.stream_address == str(target.stream_address)
         and announcement.slots == target.slots
         and announcement.connections == target.connections
+        and announcement.agent_run == target.agent_run
     )
 
 
--- a/lentilcourse/http_server.py
+++ b/lentilcourse/http_server.py
@@ -25,6 +25,7 @@
 IDLE_TIMEOUT_S: Final = 60.0
 IDLE_POLL_S: Final = 0.25
 WRITE_TIMEOUT_S: Final = 10.0
+MS_PER_S: Final = 1000.0
 
 WaitCheck: TypeAlias = Callable[[], bool]
 
@@ -51,6 +52,13 @@
         return next((each.value for each in self.headers if each.name == name), None)
 
 
+def is_readable(sock: socket.socket, timeout_s: float) -> bool:
+    """Return whether a socket has data, or its end, within a time."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(timeout_s * MS_PER_S))
+
+
 class HttpServerConnection:
     """Reads requests from, and writes answers to, one accepted socket."""
 
@@ -65,8 +73,7 @@
         while keep_waiting() and time.monotonic() < deadline:
             if self._conn.trailing_data[0]:
                 return True
-            readable, _, _ = select.select([self._sock], [], [], IDLE_POLL_S)
-            if readable:
+            if is_readable(self._sock, IDLE_POLL_S):
                 return True
         return False
 
@@ -118,7 +125,12 @@
         return self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     def caller_left(self) -> bool:
-        """Return whether the caller has closed its side; never blocks."""
+        """Return whether the caller has closed its side; never blocks.
+
+        A socket with a timeout waits for it even when asked not to, so it is polled first.
+        """
+        if not is_readable(self._sock, 0.0):
+            return False
         try:
             data = self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -401,7 +401,8 @@
     """A target as its agent announces it; renews the target's lease.
 
     `version` is the state version in force at the agent, and `usage` what it uses of limited
-    entries.
+    entries. `agent_run` is the identity of the agent's process, and `stopping` says that it
+    stops as planned.
     """
 
     service: str
@@ -415,6 +416,8 @@
     connections: int
     version: int = 0
     usage: tuple[EntryUsage, ...] = ()
+    agent_run: str = ""
+    stopping: bool = False
 
 
 @message
--- a/lentilcourse/model.py
+++ b/lentilcourse/model.py
@@ -114,6 +114,9 @@
         domain: failure domain of its VM.
         incarnation: identity of the target's run, chosen by the target.
         state: whether it takes new work.
+        agent_run: identity of the agent's process; new after each restart.
+        agent_restarts: how often the agent has restarted beside this run of the target.
+        planned_stop: whether its agent was stopped as planned and is expected back.
         lost: whether its lease has expired; it takes no new work then, yet its flows stay known.
         data_address: UDP address of the agent.
         stream_address: TCP address of the agent.
@@ -133,6 +136,9 @@
     stream_address: Address
     slots: int
     connections: int
+    agent_run: str = ""
+    agent_restarts: int = 0
+    planned_stop: bool = False
 
 
 @attrs.frozen(kw_only=True)
