--- a/features/flows.feature
+++ b/features/flows.feature
@@ -70,6 +70,11 @@
       | balancer-1 |
       | ordering-2 |
 
+  Scenario: A balancer that no controller reaches follows the state through an agent
+    Given a small deployment with links to its controllers
+    When "balancer-1" is cut off from the controllers and domain "luzon-b" goes out
+    Then "balancer-1" has the newest version in force, by its own word
+
   Scenario: A reused service address never brings packets to the former service
     Given a small deployment with flows and requests
     When 30 flows are opened
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -236,6 +236,36 @@
     deployment.run_flows(8.0)
 
 
+@when('"{who}" is cut off from the controllers and domain "{domain}" goes out')
+def cut_then_out(context, who, domain):
+    """Cut a process off for good and make a change."""
+    context.board.cut(who, inbound=True, outbound=True)
+    outcome = context.deployment.cluster.operator.change(SetDomain(name=domain, state="out"), 0)
+    assert is_accepted(outcome)
+    context.version = outcome.version
+
+
+@then('"{who}" has the newest version in force, by its own word')
+def newest_by_own_word(context, who):
+    """Read the process's own metric, since no controller hears it."""
+    host = context.deployment.cluster.layout.balancers()[who]
+    wait_until(
+        lambda: read_metric(host, "lentilcourse_state_version") >= context.version,
+        SETTLE_S,
+        f"{who} at version {context.version}",
+    )
+
+
+def read_metric(host, metric):
+    """Return the value of one metric of a process."""
+    conn = HTTPConnection(host, ADMIN_PORT, timeout=5.0)
+    conn.request("GET", "/metrics")
+    lines = conn.getresponse().read().decode().splitlines()
+    conn.close()
+    values = [float(line.split()[-1]) for line in lines if line.startswith(metric)]
+    return values[0] if values else 0.0
+
+
 @then('the targets of domain "{domain}" get no more packets')
 def no_packets(context, domain):
     """Compare the targets' message counts while flows run."""
@@ -455,9 +485,4 @@
 def metric_above(context, process, metric):
     """Read one counter."""
     host = context.deployment.cluster.layout.balancers()[process]
-    conn = HTTPConnection(host, ADMIN_PORT, timeout=5.0)
-    conn.request("GET", "/metrics")
-    lines = conn.getresponse().read().decode().splitlines()
-    conn.close()
-    values = [float(line.split()[-1]) for line in lines if line.startswith(metric)]
-    assert values and values[0] > 0, values
+    assert read_metric(host, metric) > 0
