Read the agents' outgoing streams too, and wait for peers after a start

Nobody read the streams on which agents only send, so a peer noticed the death of the other end only at its second send, up to a second later; the restarted agent probed that peer meanwhile, whose answer went into the dead stream, and took its own flows as new after 0.4 s. Ruled out: the local port being taken, a lost record (the peer held it). Conclusion: the window is closed by reading, the wait covers what remains.

--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -17,7 +17,9 @@
 from lentilcourse.controller.files import RECORD_HEADER, RecordFile, scan_records
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
-from lentilcourse.controller.replica import Replica, Role, committed_index, quorum_size
+from lentilcourse.controller.progress import Role
+from lentilcourse.controller.quorum import committed_index, quorum_size
+from lentilcourse.controller.replica import Replica
 from lentilcourse.errors import ChangeRefusedError, NotLeaderError, StorageError
 from lentilcourse.messages import AppendReply, Member, Membership, VoteReply, VoteRequest
 from properties import prop
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -14,6 +14,7 @@
 from lentilcourse.buckets import BUCKETS
 
 PROBE_WAIT_S: Final = 0.4
+START_WAIT_S: Final = 2.0
 LOST_WAIT_S: Final = 2.5
 PLANNED_STOP_WAIT_S: Final = 30.0
 PROBE_LIFE_S: Final = 5.0
@@ -28,6 +29,7 @@
         self._complete: dict[str, int] = {}
         self._lost_since: dict[str, float] = {}
         self._planned: set[str] = set()
+        self._joined = float("-inf")
         self._probes: dict[bytes, float] = {}
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
@@ -36,6 +38,8 @@
         Over versions that were passed by, a bucket may have been elsewhere for a time.
         """
         jumped = new.version > old.version + 1
+        if old.own is None and new.own is not None:
+            self._joined = now
         for bucket in range(BUCKETS):
             became_home = new.table.home(bucket) == new.name
             was_home = old.table.home(bucket) == new.name and old.own is not None
@@ -85,10 +89,12 @@
     def probe_answered_late(self, key: bytes, now: float) -> bool:
         """Return whether a flow was probed for and nobody owned up in time.
 
-        The first call starts the probe.
+        The first call starts the probe. Shortly after the start of this agent its peers may
+        still have to reconnect, and with them the records of flows that its target holds.
         """
         started = self._probes.setdefault(key, now)
-        return now - started >= PROBE_WAIT_S
+        wait_s = START_WAIT_S if now - self._joined < START_WAIT_S else PROBE_WAIT_S
+        return now - started >= wait_s
 
     def end_probe(self, key: bytes) -> None:
         """Forget a probe."""
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -143,7 +143,8 @@
     def _serve(self, stream: Stream) -> None:
         first = stream.receive()
         if isinstance(first, Subscribe):
-            feed_subscriber(stream, self.copy, first.version, self.lifecycle.stopped)
+            stopped = self.lifecycle.stopped
+            feed_subscriber(stream, self.copy, first.version, stopped, stream.check_alive)
             return
         if not isinstance(first, PEER_MESSAGES):
             self.requests.serve(stream, first)
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -15,7 +15,8 @@
 
 from lentilcourse import error_texts
 from lentilcourse.changes import Change, Outcome
-from lentilcourse.controller.replica import Replica, Role
+from lentilcourse.controller.progress import Role
+from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import member_address
 from lentilcourse.errors import NotLeaderError, ProposalUnknownError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
--- /dev/null
+++ b/lentilcourse/controller/quorum.py
@@ -0,0 +1,35 @@
+"""Arithmetic of quorums, and changes of the membership by one replica."""
+
+from __future__ import annotations
+
+import attrs
+
+from lentilcourse import error_texts
+from lentilcourse.errors import ChangeRefusedError
+from lentilcourse.messages import Member, Membership
+
+
+def quorum_size(voters: int) -> int:
+    """Return how many of `voters` form a quorum."""
+    return voters // 2 + 1
+
+
+def committed_index(match_indexes: list[int]) -> int:
+    """Return the highest index that a quorum of voters holds."""
+    if not match_indexes:
+        return 0
+    ordered = sorted(match_indexes, reverse=True)
+    return ordered[quorum_size(len(ordered)) - 1]
+
+
+def changed_membership(membership: Membership, verb: str, member: Member) -> Membership:
+    """Return the membership after one change; raises `ChangeRefusedError` if it changes nothing."""
+    current = membership.find(member.replica_id)
+    others = tuple(each for each in membership.members if each.replica_id != member.replica_id)
+    if verb == "add" and current is None:
+        return Membership(members=(*others, attrs.evolve(member, voter=False)))
+    if verb == "promote" and current is not None and not current.voter:
+        return Membership(members=(*others, attrs.evolve(current, voter=True)))
+    if verb == "remove" and current is not None:
+        return Membership(members=others)
+    raise ChangeRefusedError(error_texts.MEMBERSHIP_NO_CHANGE)
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -16,18 +16,17 @@
 
 from __future__ import annotations
 
-import enum
 import random
 import threading
 from concurrent.futures import Future
 from typing import Final, TypeAlias
 
-import attrs
-
 from lentilcourse import error_texts
 from lentilcourse.changes import Change, Outcome
 from lentilcourse.controller.log_store import LogStore, Snapshot, Vote
 from lentilcourse.controller.machine import CatalogueMachine
+from lentilcourse.controller.progress import PeerProgress, Proposal, Role
+from lentilcourse.controller.quorum import changed_membership, committed_index, quorum_size
 from lentilcourse.errors import ChangeRefusedError, NotLeaderError, StorageError
 from lentilcourse.logs import get_logger
 from lentilcourse.messages import (
@@ -50,43 +49,6 @@
 _log = get_logger(__name__)
 
 
-class Role(enum.Enum):
-    """What a replica is in the current term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
-@attrs.define(kw_only=True)
-class PeerProgress:
-    """What a leader or candidate knows of one peer.
-
-    Attributes:
-        next_index: next entry to send.
-        match_index: last entry known to be synced there.
-        contact: time at which the last answered request was sent.
-        sent: time at which the last request was sent.
-        asked_term: term of the last vote request; negative for a pre-vote.
-    """
-
-    next_index: int
-    match_index: int = 0
-    contact: float = float("-inf")
-    sent: float = float("-inf")
-    asked_term: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Proposal:
-    """A change or membership that waits for a place in the log."""
-
-    change: Change | None
-    membership: Membership | None
-    fut: Future[Outcome | None]
-
-
 class Replica:
     """One member of the group; all methods may be called from any task.
 
@@ -211,7 +173,7 @@
         with self.changed:
             self._require_leader()
             self._require_quiet_membership()
-            wanted = _changed_membership(self._store.membership(), verb, member)
+            wanted = changed_membership(self._store.membership(), verb, member)
             self._require_safe_membership(verb, member, wanted, now)
             proposal = Proposal(change=None, membership=wanted, fut=Future())
         return self._queue(proposal)
@@ -660,31 +622,6 @@
             self._become_follower(now)
 
 
-def quorum_size(voters: int) -> int:
-    """Return how many of `voters` form a quorum."""
-    return voters // 2 + 1
-
-
-def committed_index(match_indexes: list[int]) -> int:
-    """Return the highest index that a quorum of voters holds."""
-    if not match_indexes:
-        return 0
-    ordered = sorted(match_indexes, reverse=True)
-    return ordered[quorum_size(len(ordered)) - 1]
-
-
-def _changed_membership(membership: Membership, verb: str, member: Member) -> Membership:
-    current = membership.find(member.replica_id)
-    others = tuple(each for each in membership.members if each.replica_id != member.replica_id)
-    if verb == "add" and current is None:
-        return Membership(members=(*others, attrs.evolve(member, voter=False)))
-    if verb == "promote" and current is not None and not current.voter:
-        return Membership(members=(*others, attrs.evolve(current, voter=True)))
-    if verb == "remove" and current is not None:
-        return Membership(members=others)
-    raise ChangeRefusedError(error_texts.MEMBERSHIP_NO_CHANGE)
-
-
 def _fail(batch: list[Proposal], exc: Exception) -> None:
     for proposal in batch:
         proposal.fut.set_exception(exc)
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -27,8 +27,9 @@
 from lentilcourse.controller.leases import LeaseTable, due_actions
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
+from lentilcourse.controller.progress import Role
 from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
-from lentilcourse.controller.replica import MS_PER_S, Replica, Role
+from lentilcourse.controller.replica import MS_PER_S, Replica
 from lentilcourse.controller.replication import ReplicaDriver
 from lentilcourse.controller.shares import due_shares
 from lentilcourse.controller.subscriptions import MAX_SUBSCRIBERS, Subscriptions
--- a/lentilcourse/http_server.py
+++ b/lentilcourse/http_server.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 import time
 from collections.abc import Callable
@@ -17,6 +16,7 @@
 
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.messages import Header
+from lentilcourse.sockets import is_readable
 
 MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
@@ -25,7 +25,6 @@
 IDLE_TIMEOUT_S: Final = 60.0
 IDLE_POLL_S: Final = 0.25
 WRITE_TIMEOUT_S: Final = 10.0
-MS_PER_S: Final = 1000.0
 
 WaitCheck: TypeAlias = Callable[[], bool]
 
@@ -52,13 +51,6 @@
         return next((each.value for each in self.headers if each.name == name), None)
 
 
-def is_readable(sock: socket.socket, timeout_s: float) -> bool:
-    """Return whether a socket has data, or its end, within a time."""
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    return bool(poll.poll(timeout_s * MS_PER_S))
-
-
 class HttpServerConnection:
     """Reads requests from, and writes answers to, one accepted socket."""
 
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -35,6 +35,7 @@
 from lentilcourse.logs import get_logger
 from lentilcourse.messages import Challenge, Failure, Heartbeat, Hello, Welcome
 from lentilcourse.options import Address
+from lentilcourse.sockets import is_readable
 
 HEARTBEAT_INTERVAL_S: Final = 0.5
 HEARTBEAT_DEADLINE_S: Final = 2.0
@@ -94,6 +95,7 @@
         self._sock = sock
         self._send_lock = threading.Lock()
         self._last_sent = time.monotonic()
+        self._last_received = time.monotonic()
         self._closed = False
         self._limit_messages(HANDSHAKE_MAX_BYTES)
 
@@ -131,6 +133,19 @@
         """Set the longest silence that `receive` and `send` accept."""
         self._sock.settimeout(seconds)
 
+    def check_alive(self, now: float) -> None:
+        """Read and drop what has come, for a task that only sends; raises `StreamError`.
+
+        A stream that nobody reads would hide that its other end is gone or silent.
+        """
+        while is_readable(self._sock, 0.0):
+            self._feed()
+            self._limit_messages(MAX_MESSAGE_BYTES)
+            self._last_received = now
+        if now - self._last_received > HEARTBEAT_DEADLINE_S:
+            self.close()
+            raise StreamClosedError(error_texts.STREAM_SILENT.format(peer=self.peer))
+
     def close(self) -> None:
         """Close the stream; a task that waits in `receive` wakes up."""
         self._closed = True
