Let any living holder of a bucket's keys hand them over

Cause: after agents were killed one after the other, keyed requests were not answered again within 30 s: an agent that became backup took the dead home for the only holder of the keys, counted them as lost, and answered 'unknown' for an hour. Ruled out: a real double loss (each agent was back before the next was killed). Change: the first living one of the former home and backup is waited for. Conclusion: 'unknown' is left for the loss of both holders.

--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -21,7 +21,7 @@
     read_work,
 )
 from lentilcourse.balancer.retry_budget import MAX_SAVED_RETRIES, RETRY_SHARE, RetryBudget
-from lentilcourse.buckets import bucket_of, rendezvous_table
+from lentilcourse.buckets import BUCKETS, bucket_of, rendezvous_table
 from lentilcourse.http_server import HttpRequest
 from lentilcourse.messages import Header, KeyState, Refusal, RequestStart
 from lentilcourse.model import State
@@ -266,6 +266,14 @@
         self.runs[key] = self.runs.get(key, 0) + 1
         assert self.runs[key] == 1, key
 
+    def certain(self):
+        """Check that each home judges a key that it has never seen as new."""
+        table = self.table()
+        for bucket in range(BUCKETS):
+            home = table.home(bucket)
+            verdict = self.history[home].judge(bucket, "fresh", self.wall_ms)
+            assert verdict is KeyVerdict.NEW, (bucket, home, verdict)
+
     @rule(name=st.sampled_from(NAMES))
     def die(self, name):
         """Kill an agent: its memory is gone."""
@@ -334,6 +342,21 @@
     run_state_machine_as_test(KeyWorld, settings=settings(max_examples=60, stateful_step_count=40))
 
 
+@prop("requests.single_losses_lose_no_key")
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), max_size=12))
+def check_single_losses(losses):
+    """As long as one holder of each bucket lives, every key is judged for certain."""
+    world = KeyWorld()
+    for name, quickly in losses:
+        if quickly:
+            world.forget_quickly(name)
+        else:
+            world.die(name)
+            world.certain()
+            world.come_back(name)
+        world.certain()
+
+
 @prop("requests.key_time")
 @given(st.integers(0, 2**48 - 1), st.text(max_size=40))
 def check_key_time(time_ms, text):
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -14,6 +14,7 @@
       | requests.class_ranks_the_queue     |
       | requests.higher_class_displaces    |
       | requests.key_runs_at_most_once     |
+      | requests.single_losses_lose_no_key |
       | requests.key_time                  |
       | requests.known_outcome_stays       |
 
--- a/lentilcourse/agent/key_history.py
+++ b/lentilcourse/agent/key_history.py
@@ -76,9 +76,9 @@
             held = self._name in old.candidates[bucket][:2]
             holds = self._name in table.candidates[bucket][:2]
             if holds and (jumped or not held):
-                source = self._source(old.candidates[bucket], table.candidates[bucket])
+                holders = self._holders(old.candidates[bucket], table.candidates[bucket])
                 history.waits_version = version
-                self._take_over(history, source, live, restarted, wall_ms)
+                self._take_over(history, holders, live, restarted, wall_ms)
             if history.waits_for and history.waits_for not in live:
                 history.waits_for = ""
                 history.lost_ms = wall_ms
@@ -127,22 +127,24 @@
             return KeyVerdict.NEW
         return KeyVerdict.MAYBE_USED
 
-    def _source(self, old: tuple[str, ...], new: tuple[str, ...]) -> str:
-        """Return the target that has held the keys of a bucket until now, "" for none."""
-        holders = [name for name in (old if self._joined else new) if name != self._name]
-        return holders[0] if holders else ""
+    def _holders(self, old: tuple[str, ...], new: tuple[str, ...]) -> list[str]:
+        """Return the other targets that have held the keys of a bucket until now."""
+        if self._joined:
+            return [name for name in old[:2] if name != self._name]
+        return [name for name in new if name != self._name][:2]
 
     def _take_over(
         self,
         history: BucketHistory,
-        source: str,
+        holders: list[str],
         live: frozenset[str],
         restarted: bool,
         wall_ms: int,
     ) -> None:
-        if source in live:
-            history.waits_for = source
-        elif source or restarted:
+        alive = [name for name in holders if name in live]
+        if alive:
+            history.waits_for = alive[0]
+        elif holders or restarted:
             history.lost_ms = wall_ms
 
 
