Reset a bucket's loss when a living holder hands it over

Cause: a loss noted while an agent was backup stayed with the bucket after a living holder had handed it over again. Found by widening the property of single losses, which the first version did not distinguish from the old rule. Figures: the property fails with the old holder rule and passes with the new. Conclusion: mended; callers' stand-in now says which target answered instead.

--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -343,7 +343,8 @@
 
 
 @prop("requests.single_losses_lose_no_key")
-@given(st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), max_size=12))
+@settings(max_examples=200)
+@given(st.lists(st.tuples(st.sampled_from(NAMES), st.booleans()), max_size=16))
 def check_single_losses(losses):
     """As long as one holder of each bucket lives, every key is judged for certain."""
     world = KeyWorld()
@@ -351,9 +352,9 @@
         if quickly:
             world.forget_quickly(name)
         else:
+            for dead in list(world.dead):
+                world.come_back(dead)
             world.die(name)
-            world.certain()
-            world.come_back(name)
         world.certain()
 
 
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -93,7 +93,7 @@
     deployment.run_flows(1.0)
     deployment.settle_flows()
     counts = deployment.fabric.counts
-    assert counts.broken == 0, deployment.fabric.reasons
+    assert counts.broken == 0, (deployment.fabric.reasons, deployment.fabric.moved)
     assert deployment.fabric.open_count() == count, (counts, deployment.fabric.reasons)
 
 
--- a/lentilcourse/agent/key_history.py
+++ b/lentilcourse/agent/key_history.py
@@ -144,6 +144,7 @@
         alive = [name for name in holders if name in live]
         if alive:
             history.waits_for = alive[0]
+            history.lost_ms = NEVER_LOST
         elif holders or restarted:
             history.lost_ms = wall_ms
 
--- a/lentilcourse/lab/fabric.py
+++ b/lentilcourse/lab/fabric.py
@@ -78,6 +78,7 @@
         balancers: packet addresses of the balancers.
         flows: all flows that have not ended, by key.
         reasons: why flows were refused or broke.
+        moved: flows that another target, or another run or port, has answered.
         loss: share of packets dropped between callers and balancers.
     """
 
@@ -88,6 +89,7 @@
         self.counts = FabricCounts()
         self.reasons: Counter[str] = Counter()
         self.owners: Counter[bytes] = Counter()
+        self.moved: list[tuple[str, bytes, bytes]] = []
         self.on_packet: Callable[[bytes], None] | None = None
         self._rng = random.Random(seed)
         self._lock = threading.RLock()
@@ -225,6 +227,7 @@
             self.counts.opened += 1
             self.owners[owner.split(b"|")[1]] += 1
         if owner != flow.owner:
+            self.moved.append((flow.key.hex(), flow.owner, owner))
             self._end(flow, "broken", "another target answered")
         elif number == str(flow.sent).encode() and flow.waiting_since is not None:
             flow.longest_wait_s = max(flow.longest_wait_s, now - flow.waiting_since)
