Let a restarted agent drop, not void, records that it cannot judge yet

Cause: an agent that had lost its memory answered packets forwarded to it as owner with 'forget', before the home had sent it that record; the next packet became a new flow. Ruled out: the probe window (closed before). Change: a record is voided only for a home that has completed its registration.

--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -58,6 +58,10 @@
         """Note that a peer has registered all its flows as of `version`."""
         self._complete[peer] = max(version, self._complete.get(peer, -1))
 
+    def has_confirmed(self, peer: str | None) -> bool:
+        """Return whether a peer has completed its registration over its present stream."""
+        return peer in self._complete
+
     def revoke(self, peer: str) -> None:
         """Forget a peer's confirmation, because its stream has ended."""
         self._complete.pop(peer, None)
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -229,8 +229,16 @@
             self._find_owner(key, entry, label, packet, now)
 
     def _on_not_owner(self, key: bytes, packet: bytes, source: tuple[str, int]) -> None:
-        self.counts.unknown_flow += 1
+        """Tell a home that its record is void, unless this agent may have lost its memory.
+
+        A home that has completed its registration has also sent what it recorded for this
+        agent; before that, the record may be all that is left of the flow.
+        """
         home = self._view.by_address.get(source)
+        if not self._completeness.has_confirmed(home):
+            self.counts.recovering += 1
+            return
+        self.counts.unknown_flow += 1
         self._peering.send(home, ForgetFlows(owner=self._name, keys=(key,)))
         if packet[9] == PROTOCOL_TCP:
             self._send(PLAIN_HEADER + build_reset(packet), self._fabric)
