Name packets' service keys in one place; shapes use the change that creates an entry

Change: service_keys.entry_service_key serves balancer and agent; shapes hold PutEntry. Conclusion: behaviour is unchanged.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -4,10 +4,11 @@
 
 import time
 
+from lentilcourse.changes import PutEntry
 from lentilcourse.lab.cluster import Cluster, wait_until
 from lentilcourse.lab.fabric import Fabric
 from lentilcourse.lab.request_load import check_executions
-from lentilcourse.lab.shapes import EntryShape, ServiceShape, Shape
+from lentilcourse.lab.shapes import ServiceShape, Shape
 
 BOARD = "10.77.0.1:4000"
 FLOW_INTERVAL_S = 0.2
@@ -24,7 +25,7 @@
         ServiceShape(name="inspection", speeds=(2,), slots=3, connections=2000),
     ),
     entries=(
-        EntryShape(
+        PutEntry(
             name="price-board",
             service="ordering",
             owner="floor-desk",
@@ -32,7 +33,7 @@
             protocol="udp",
             address=BOARD,
         ),
-        EntryShape(
+        PutEntry(
             name="orders",
             service="ordering",
             owner="floor-desk",
@@ -40,7 +41,7 @@
             protocol="http",
             address="10.77.0.1:80",
         ),
-        EntryShape(
+        PutEntry(
             name="intake",
             service="inspection",
             owner="millers-desk",
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -61,15 +61,17 @@
 def restart_agent(deployment):
     """Stop an agent gracefully and start it again; its target runs on."""
     deployment.cluster.terminate("ordering-2")
-    deployment.run_flows(0.3)
-    deployment.cluster.start_daemon("ordering-2")
-    deployment.run_flows(4.0)
-    deployment.cluster.wait_ready()
+    start_agent(deployment)
 
 
 def kill_agent(deployment):
     """Kill an agent and start it again; its target runs on."""
     deployment.cluster.kill("ordering-2")
+    start_agent(deployment)
+
+
+def start_agent(deployment):
+    """Start the agent again after a moment."""
     deployment.run_flows(0.3)
     deployment.cluster.start_daemon("ordering-2")
     deployment.run_flows(4.0)
--- a/lentilcourse/agent/flow_view.py
+++ b/lentilcourse/agent/flow_view.py
@@ -5,15 +5,11 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 import attrs
 
 from lentilcourse.buckets import EMPTY_TABLE, BucketTable, build_table, takes_new_work
-from lentilcourse.model import Entry, Limits, Protocol, State, Target, TargetState
-from lentilcourse.packets import PROTOCOL_TCP, PROTOCOL_UDP, make_service_key
-
-IP_PROTOCOLS: Final = {Protocol.UDP: PROTOCOL_UDP, Protocol.TCP: PROTOCOL_TCP}
+from lentilcourse.model import Entry, Limits, State, Target, TargetState
+from lentilcourse.service_keys import entry_service_key
 
 
 @attrs.frozen(kw_only=True)
@@ -37,7 +33,7 @@
     name: str
     own: Target | None
     entries: dict[int, Entry]
-    service_keys: dict[int, bytes]
+    service_keys: dict[int, bytes | None]
     table: BucketTable
     peers: dict[str, Target]
     out: frozenset[str]
@@ -79,14 +75,14 @@
     entries = {
         entry.entry_id: entry
         for entry in state.entries.values()
-        if entry.service == own.service and entry.protocol in IP_PROTOCOLS
+        if entry.service == own.service and entry_service_key(entry) is not None
     }
     return FlowView(
         version=state.version,
         name=name,
         own=own,
         entries=entries,
-        service_keys={key: _service_key(entry) for key, entry in entries.items()},
+        service_keys={key: entry_service_key(entry) for key, entry in entries.items()},
         table=build_table(state, own.service),
         peers={each.name: each for each in members if each.name != name},
         out=frozenset(each.name for each in members if state.domain_out(each.domain)),
@@ -118,7 +114,3 @@
         by_address={},
         shares={},
     )
-
-
-def _service_key(entry: Entry) -> bytes:
-    return make_service_key(entry.address.host, entry.address.port, IP_PROTOCOLS[entry.protocol])
--- a/lentilcourse/balancer/packet_path.py
+++ b/lentilcourse/balancer/packet_path.py
@@ -17,24 +17,20 @@
 from lentilcourse.errors import PacketError
 from lentilcourse.geneve import PLAIN_HEADER, PacketLabel, decode_plain, encode_label
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.model import Entry, Protocol, State
+from lentilcourse.model import Entry, State
 from lentilcourse.options import Address
 from lentilcourse.packets import (
     ICMP_CODE_HOST_UNREACHABLE,
-    PROTOCOL_TCP,
-    PROTOCOL_UDP,
     build_refusal,
     check_packet,
-    make_service_key,
 )
 from lentilcourse.refusals import RAN_NO, Cause, RefusalCounts, describe, system_refusal
+from lentilcourse.service_keys import entry_service_key
 
 SOCKET_POLL_S: Final = 0.25
 SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
 MAX_DATAGRAM_BYTES: Final = 65535
 
-IP_PROTOCOLS: Final = {Protocol.UDP: PROTOCOL_UDP, Protocol.TCP: PROTOCOL_TCP}
-
 
 @attrs.define(kw_only=True)
 class PacketCounts:
@@ -66,9 +62,8 @@
     """Return the route of each service address at a state, by service key."""
     routes: dict[bytes, Route] = {}
     for entry in state.entries.values():
-        protocol = IP_PROTOCOLS.get(entry.protocol)
-        if protocol is not None:
-            key = make_service_key(entry.address.host, entry.address.port, protocol)
+        key = entry_service_key(entry)
+        if key is not None:
             routes[key] = _build_route(state, entry)
     return routes
 
--- a/lentilcourse/lab/cluster.py
+++ b/lentilcourse/lab/cluster.py
@@ -19,7 +19,6 @@
 
 import cattrs
 
-from lentilcourse.changes import PutEntry
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.lab.shapes import (
     ADMIN_PORT,
@@ -106,8 +105,7 @@
     def create_entries(self) -> None:
         """Create the entries of the shape."""
         for entry in self.layout.shape.entries:
-            action = cattrs.structure(cattrs.unstructure(entry), PutEntry)
-            outcome = self.operator.change(action, 0)
+            outcome = self.operator.change(entry, 0)
             if not is_accepted(outcome):
                 raise ClusterError(f"entry {entry.name}: {outcome.reason}")
 
--- a/lentilcourse/lab/shapes.py
+++ b/lentilcourse/lab/shapes.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from lentilcourse.changes import PutEntry
+
 CONTROLLER_PORT: Final = 7100
 BALANCER_PACKET_PORT: Final = 6081
 BALANCER_REQUEST_PORT: Final = 8080
@@ -47,21 +49,6 @@
     connections: int
 
 
-@attrs.frozen(kw_only=True)
-class EntryShape:
-    """One catalogue entry."""
-
-    name: str
-    service: str
-    owner: str
-    traffic_class: str
-    protocol: str
-    address: str
-    open_flows: int = 0
-    new_flows_per_s: int = 0
-    requests_in_flight: int = 0
-
-
 @attrs.frozen(kw_only=True)
 class Shape:
     """One deployment."""
@@ -71,7 +58,7 @@
     controllers: int
     balancers: int
     services: tuple[ServiceShape, ...]
-    entries: tuple[EntryShape, ...]
+    entries: tuple[PutEntry, ...]
 
 
 @attrs.frozen(kw_only=True)
@@ -103,7 +90,7 @@
         ServiceShape(name="inspection", speeds=(1, 2, 4), slots=3, connections=2000),
     ),
     entries=(
-        EntryShape(
+        PutEntry(
             name="price-board",
             service="ordering",
             owner="floor-desk",
@@ -111,7 +98,7 @@
             protocol="udp",
             address="10.77.0.1:4000",
         ),
-        EntryShape(
+        PutEntry(
             name="orders",
             service="ordering",
             owner="floor-desk",
@@ -119,7 +106,7 @@
             protocol="http",
             address="10.77.0.1:80",
         ),
-        EntryShape(
+        PutEntry(
             name="inspection-intake",
             service="inspection",
             owner="millers-desk",
@@ -142,7 +129,7 @@
         ServiceShape(name="archive", speeds=(1, 2, 4), slots=1, connections=2000),
     ),
     entries=(
-        EntryShape(
+        PutEntry(
             name="amendments",
             service="credit-desk",
             owner="credit-desk",
@@ -150,7 +137,7 @@
             protocol="http",
             address="10.78.0.1:80",
         ),
-        EntryShape(
+        PutEntry(
             name="discrepancy-feeds",
             service="credit-desk",
             owner="credit-desk",
@@ -158,7 +145,7 @@
             protocol="udp",
             address="10.78.0.1:4000",
         ),
-        EntryShape(
+        PutEntry(
             name="lading-scans",
             service="archive",
             owner="archive-desk",
