Claim a network for each scenario

Cause: test runs side by side could choose the same loopback network; one then talked to the other's controllers ('version in force is 1' at set-up, twice). Change: a held socket claims the network. Conclusion: set-up failures of that kind should be gone.

--- a/features/environment.py
+++ b/features/environment.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import shutil
+import socket
 import sys
 from pathlib import Path
 
@@ -22,6 +23,7 @@
 
 FIRST_NETWORK = 100
 NETWORKS = 100
+GUARD_PORT = 9
 
 scenario_numbers = itertools.count(1)
 
@@ -35,10 +37,25 @@
     """Start with nothing running."""
     context.closers = []
     number = next(scenario_numbers)
-    context.prefix = f"127.{FIRST_NETWORK + (os.getpid() + number) % NETWORKS}"
+    context.prefix = claim_network(context, os.getpid() + number)
     context.folder = context.work_folder / f"scenario-{number}"
 
 
+def claim_network(context, start):
+    """Claim a network that no other run on this machine uses, by a socket held in it."""
+    for offset in range(NETWORKS):
+        prefix = f"127.{FIRST_NETWORK + (start + offset) % NETWORKS}"
+        guard = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            guard.bind((f"{prefix}.255.254", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        context.closers.append(guard.close)
+        return prefix
+    raise RuntimeError("no free network")
+
+
 def after_scenario(context, scenario):
     """End all that the scenario has started."""
     for closer in reversed(context.closers):
