Give the message property the new field

Cause: RegisterFlows has carried a version since owners may be ahead of a home; the property built it without. Conclusion: a test behind its message, no fault of the product.

--- a/features/properties/packets.py
+++ b/features/properties/packets.py
@@ -136,6 +136,7 @@
     """A message comes back equal."""
     msg = RegisterFlows(
         owner="target-1",
+        version=3,
         flows=tuple(
             FlowRecord(key=key, entry_id=entry, local_port=port, idle_ms=0)
             for key, entry, port in records
