Wait for warm targets where a scenario needs all slots

Cause: the deadline scenario waits for three running requests, while a target that has just joined is admitted one slot for some seconds; it could not be met in time. Ruled out: a leak of slots (the limit metric showed 1 rising to 3). Change: such scenarios begin once every agent's slot limit is full; no bound changed. Conclusion: a test that asked for more than a cold target gives.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -7,7 +7,7 @@
     And applying it again changes nothing
 
   Scenario: A refusal is traced from its id to the owner's limit
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When the operator limits "intake" to 1 requests in flight
     And 6 long requests to "intake" run at once
     Then asking why names "intake", "millers-desk" and "requests_in_flight"
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -59,21 +59,21 @@
     Then the second is refused with status 422, cause "key-reused" and ran "no"
 
   Scenario: Large answers arrive whole, or are plainly cut
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When 8 answers of 20 MB are read at once
     Then all of them are whole
     When an answer of 20 MB is read slowly and its target is killed
     Then the answer is plainly cut
 
   Scenario: A deadline that has passed stops work, and a cancelled request frees its slot
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When the only target of "intake" is busy and a request with a deadline of 300 ms waits
     Then it is refused with cause "deadline" and ran "no", and never ran
     When 3 long requests are cancelled by their callers
     Then the target counts 3 cancelled, and its slots are free again
 
   Scenario: Slots are never exceeded and classes rank
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When 60 callers at once ask the targets of "ordering"
     Then no target ran more requests at once than it has slots
     And requests are answered again
@@ -84,12 +84,12 @@
     Then no target fell over
 
   Scenario: A target that turns cold while its load report lies gets no more than it bears
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When load runs while "ordering-4" turns cold for 6 seconds and reports no load
     Then "ordering-4" fell over at most once and serves its share in the end
 
   Scenario: An owner's limit of requests in flight holds over all agents together
-    Given a small deployment with flows and requests
+    Given a small deployment that is warm
     When the operator limits "intake" to 2 requests in flight
     And 12 long requests to "intake" run at once
     Then never more than 2 ran at once, and the others were refused naming "requests_in_flight"
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -14,7 +14,7 @@
 
 from behave import given, then, when
 from cluster_steps import deploy
-from flow_steps import SETTLE_S, accept
+from flow_steps import SETTLE_S, accept, read_metric
 
 from lentilcourse.changes import DrainTarget, PutEntry, SetDomain
 from lentilcourse.lab.cluster import wait_until
@@ -331,6 +331,22 @@
     assert ask(cluster, RequestPlan(entry="intake"), 60).outcome == "answered"
 
 
+@given("a small deployment that is warm")
+def warm_deployment(context):
+    """Start the small deployment and wait until every agent admits all slots."""
+    deploy(context)
+    places = context.deployment.cluster.layout.targets()
+    wait_until(
+        lambda: all(
+            read_metric(place.host, "lentilcourse_requests_slots") == place.service.slots
+            for place in places
+        ),
+        SETTLE_S,
+        "all targets warm",
+        0.2,
+    )
+
+
 @given("a small deployment whose targets start cold")
 def cold_deployment(context):
     """Start targets that are cold for a while."""
