--- a/lentilcourse/agent/flow_loop.py
+++ b/lentilcourse/agent/flow_loop.py
@@ -13,7 +13,7 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.options import Address
 
-POLL_S: Final = 0.1
+POLL_S: Final = 0.25
 TICK_S: Final = 0.5
 DATAGRAMS_PER_TURN: Final = 64
 
--- a/lentilcourse/agent/peers.py
+++ b/lentilcourse/agent/peers.py
@@ -22,7 +22,7 @@
 MAX_PEERS: Final = 256
 MAX_QUEUED: Final = 100_000
 RECONNECT_DELAY_S: Final = 0.1
-QUEUE_POLL_S: Final = 0.1
+QUEUE_POLL_S: Final = 0.25
 
 
 class AgentPeer:
