--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -284,6 +284,16 @@
             self.former.pop(name, None)
             self.spread()
 
+    @rule(first=st.sampled_from(NAMES), second=st.sampled_from(NAMES))
+    def die_together(self, first, second):
+        """Kill two agents before anybody can react."""
+        self.wall_ms += 5_000
+        for name in {first, second} - self.dead:
+            self.dead.add(name)
+            self.records[name] = KeyRecords()
+            self.former.pop(name, None)
+        self.spread()
+
     @rule(name=st.sampled_from(NAMES))
     def come_back(self, name):
         """Start a dead agent again, with nothing in its memory."""
