--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -147,12 +147,7 @@
         for status in cluster.operator.statuses()
         if any(report.name == "balancer-1" for report in status.reports)
     )
-    for (source, destination), link in board._links.items():
-        others = set(cluster.layout.controllers()) - {followed}
-        if (source == followed and destination in others) or (
-            destination == followed and source in others
-        ):
-            link.forward = link.backward = False
+    board.cut_between(followed, set(cluster.layout.controllers()) - {followed})
 
 
 @then("all accepted changes are in force in every process")
--- a/lentilcourse/lab/bench/control.py
+++ b/lentilcourse/lab/bench/control.py
@@ -24,6 +24,7 @@
     resident_bytes,
 )
 from lentilcourse.lab.cluster import Cluster
+from lentilcourse.lab.links import LinkBoard
 from lentilcourse.lab.shapes import CLUSTER_KEY, SAMAHAN, Layout, Shape
 from lentilcourse.messages import LogEntry, Report
 from lentilcourse.model import State
@@ -38,6 +39,7 @@
 IDLE_S: Final = 6.0
 RECOVERY_RECORDS: Final = (1_000, 4_000, 16_000)
 IN_FORCE_TARGET_S: Final = 4.0
+MOVE_TARGET_S: Final = 3.0
 
 EMPTY: Final = Shape(
     name="control",
@@ -143,9 +145,39 @@
         figures += _measure_throughput(single, "without group commit")
     finally:
         single.stop_all()
+    figures += _measure_move(folder / "links", "127.97")
     return figures + _measure_recovery()
 
 
+def _measure_move(folder: Path, prefix: str) -> list[Figure]:
+    """Measure how long a process stays with a controller that is silently cut off."""
+    shape = attrs.evolve(EMPTY, balancers=2)
+    layout = Layout(shape=shape, prefix=prefix, folder=str(folder / "data"), links=True)
+    board = LinkBoard(layout=layout)
+    cluster = Cluster(layout=layout, folder=folder)
+    try:
+        cluster.start_controllers()
+        for name in layout.balancers():
+            cluster.start_daemon(name)
+        cluster.wait_ready()
+        leader = cluster.wait_leader()
+        followed = next(
+            status.name
+            for status in cluster.operator.statuses()
+            if status.name != leader and status.reports
+        )
+        board.cut_between(followed, set(layout.controllers()) - {followed})
+        cut = time.monotonic()
+        version = cluster.operator.change_at(leader, entry(30_000), 0).version
+        missing = cluster.operator.wait_in_force(version, 20.0)
+        spent = time.monotonic() - cut if not missing else float("inf")
+    finally:
+        cluster.stop_all()
+        board.close()
+    name = "cut of a controller to a change in force at its subscribers"
+    return [Figure(name=name, value=spent, unit="s", target=MOVE_TARGET_S)]
+
+
 def _measure_throughput(cluster: Cluster, what: str) -> list[Figure]:
     def write(numbers: range) -> None:
         client = cluster.operator
--- a/lentilcourse/lab/bench/deployment.py
+++ b/lentilcourse/lab/bench/deployment.py
@@ -13,6 +13,7 @@
 import attrs
 
 from lentilcourse.buckets import bucket_of, rendezvous_table
+from lentilcourse.lab.bench.control import entry
 from lentilcourse.lab.bench.figures import MEASUREMENTS, Figure, cpu_seconds, percentile
 from lentilcourse.lab.cluster import Cluster
 from lentilcourse.lab.demo import FlowDriver, flow_imbalance
@@ -28,6 +29,7 @@
 WARM_UP_S: Final = 12.0
 MAX_CALLERS: Final = 400
 IMBALANCE_TARGET: Final = 1.25
+BUSY_CHANGES_PER_S: Final = 5.0
 CONTROL_TARGET_BYTES: Final = 4096.0
 CONTROL_TARGET_CORES: Final = 0.012
 NEW_FLOWS_PER_S: Final = 5000
@@ -129,7 +131,8 @@
     try:
         cluster.start_all()
         time.sleep(WARM_UP_S)
-        figures = _measure_idle(cluster)
+        figures = _measure_processes(cluster, "idle", lambda: time.sleep(LOAD_S))
+        figures += _measure_processes(cluster, "busy", lambda: _change_steadily(cluster))
         fabric = Fabric(address=layout.fabric, balancers=cluster.packet_addresses(), seed=1)
         fabric.start()
         figures += _measure_new_flows(cluster, fabric)
@@ -139,29 +142,40 @@
         cluster.stop_all()
 
 
-def _measure_idle(cluster: Cluster) -> list[Figure]:
+def _change_steadily(cluster: Cluster) -> None:
+    """Create entries at a rate far above that of the size to design for."""
+    client = cluster.operator
+    began = time.monotonic()
+    for number in range(int(BUSY_CHANGES_PER_S * LOAD_S)):
+        time.sleep(max(0.0, began + number / BUSY_CHANGES_PER_S - time.monotonic()))
+        client.change(entry(number), 0)
+
+
+def _measure_processes(cluster: Cluster, state: str, during: Callable[[], None]) -> list[Figure]:
+    """Measure control bytes and CPU of balancers and agents while something goes on."""
     names = [*cluster.layout.balancers(), *(each.name for each in cluster.layout.targets())]
     pids = {name: cluster.processes[name].pid for name in names}
     bytes_before = {name: cluster.stream_bytes(name) for name in names}
     cpu_before = {name: cpu_seconds(pid) for name, pid in pids.items()}
     began = time.monotonic()
-    time.sleep(LOAD_S)
+    during()
     spent = time.monotonic() - began
     rates = [(cluster.stream_bytes(name) - bytes_before[name]) / spent for name in names]
     cores = [(cpu_seconds(pid) - cpu_before[name]) / spent for name, pid in pids.items()]
     return [
         Figure(
-            name="control bytes of an idle process, both ways, highest",
+            name=f"control bytes of {state} processes, both ways, highest",
             value=max(rates),
             unit="bytes/s",
-            target=CONTROL_TARGET_BYTES,
+            target=CONTROL_TARGET_BYTES if state == "idle" else None,
         ),
         Figure(
-            name="CPU of an idle process, highest",
+            name=f"CPU of {state} processes, highest",
             value=max(cores),
             unit="cores",
-            target=CONTROL_TARGET_CORES,
+            target=CONTROL_TARGET_CORES if state == "idle" else None,
         ),
+        Figure(name=f"CPU of {state} processes, mean", value=sum(cores) / len(cores), unit="cores"),
     ]
 
 
--- a/lentilcourse/lab/links.py
+++ b/lentilcourse/lab/links.py
@@ -110,6 +110,14 @@
                 link.forward = link.forward and not inbound
                 link.backward = link.backward and not outbound
 
+    def cut_between(self, process: str, others: set[str]) -> None:
+        """Cut a controller off from others, while its subscribers still reach it."""
+        for (source, destination), link in self._links.items():
+            outward = source == process and destination in others
+            inward = destination == process and source in others
+            if outward or inward:
+                link.forward = link.backward = False
+
     def heal(self) -> None:
         """Let all links pass everything."""
         for link in self._links.values():
--- a/lentilcourse/operator_client.py
+++ b/lentilcourse/operator_client.py
@@ -82,6 +82,11 @@
                     raise
             time.sleep(RETRY_DELAY_S)
 
+    def change_at(self, name: str, action: Action, edit_version: int) -> Outcome:
+        """Return the outcome of a change that is sent to one controller, once."""
+        req = ProposeChange(change_id=new_id(), edit_version=edit_version, action=action)
+        return self._one(name, req, ChangeReply).outcome
+
     def state(self) -> State:
         """Return the newest state that a controller serves."""
         newest = max(self.statuses(), key=lambda status: (status.version, -status.freshness_ms))
