--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -5,7 +5,9 @@
 from http.client import HTTPConnection
 
 from behave import then, when
-from control_steps import command
+from control_steps import SETTLE_S, command
+
+from lentilcourse.lab.cluster import wait_until
 
 DECLARED = """
 [entry orders]
@@ -61,18 +63,19 @@
 
 @then('asking why names "{entry}", "{owner}" and "{limit}"')
 def ask_why(context, entry, owner, limit):
-    """Get one more refusal and ask for it by its id."""
-    host, port = context.deployment.cluster.request_addresses()[0]
+    """Get one more refusal, while a long request holds the limit, and ask for it by its id."""
+    cluster = context.deployment.cluster
+    host, port = cluster.request_addresses()[0]
     first = HTTPConnection(host, port, timeout=20.0)
-    first.request("GET", "/work?id=a&size=100", headers={"Host": entry})
-    refusal_id = ""
-    while not refusal_id:
-        second = HTTPConnection(host, port, timeout=20.0)
-        second.request("GET", "/work?id=b&size=1", headers={"Host": entry})
-        answer = second.getresponse()
-        refusal_id = answer.getheader("Refusal-Id") or ""
-        answer.read()
-        second.close()
+    first.request("GET", "/work?id=a&size=200", headers={"Host": entry})
+    wait_until(lambda: cluster.target_stats("inspection-1")["running"] == 1, SETTLE_S, "runs")
+    second = HTTPConnection(host, port, timeout=20.0)
+    second.request("GET", "/work?id=b&size=1", headers={"Host": entry})
+    answer = second.getresponse()
+    refusal_id = answer.getheader("Refusal-Id") or ""
+    answer.read()
+    second.close()
+    assert refusal_id, "the second request was not refused"
     first.getresponse().read()
     first.close()
     done = command(context, "why", refusal_id)
--- a/lentilcourse/lab/bench/deployment.py
+++ b/lentilcourse/lab/bench/deployment.py
@@ -18,8 +18,13 @@
 from lentilcourse.lab.cluster import Cluster
 from lentilcourse.lab.demo import FlowDriver, flow_imbalance
 from lentilcourse.lab.fabric import Fabric
-from lentilcourse.lab.request_load import RequestPlan, RequestResult, send_request
-from lentilcourse.lab.shapes import SAMAHAN, Layout
+from lentilcourse.lab.request_load import (
+    RequestLoad,
+    RequestPlan,
+    RequestResult,
+    send_request,
+)
+from lentilcourse.lab.shapes import SAMAHAN, TARGET_HTTP_PORT, Layout
 from lentilcourse.lab.target import BASE_SERVICE_S
 
 POLICIES: Final = ("two-choices", "random", "round-robin")
@@ -29,6 +34,9 @@
 WARM_UP_S: Final = 12.0
 MAX_CALLERS: Final = 400
 IMBALANCE_TARGET: Final = 1.25
+LATENCY_REQUESTS: Final = 200
+CLOSED_LOOP_CALLERS: Final = 16
+CLOSED_LOOP_S: Final = 5.0
 BUSY_CHANGES_PER_S: Final = 5.0
 CONTROL_TARGET_BYTES: Final = 4096.0
 CONTROL_TARGET_CORES: Final = 0.012
@@ -135,6 +143,7 @@
         figures += _measure_processes(cluster, "busy", lambda: _change_steadily(cluster))
         fabric = Fabric(address=layout.fabric, balancers=cluster.packet_addresses(), seed=1)
         fabric.start()
+        figures += _measure_requests(cluster)
         figures += _measure_new_flows(cluster, fabric)
         fabric.stop()
         return figures
@@ -179,6 +188,28 @@
     ]
 
 
+def _measure_requests(cluster: Cluster) -> list[Figure]:
+    """Measure what the path adds to a request without work, and how many it carries."""
+    balancer = cluster.request_addresses()
+    place = cluster.layout.targets()[0]
+    direct = [(place.host, TARGET_HTTP_PORT)]
+    plan = RequestPlan(entry="orders", size=0.0)
+    rng = random.Random(3)
+    straight = [send_request(plan, rng, direct).seconds for _ in range(LATENCY_REQUESTS)]
+    through = [send_request(plan, rng, balancer).seconds for _ in range(LATENCY_REQUESTS)]
+    added = percentile(through, 0.5) - percentile(straight, 0.5)
+    load = RequestLoad(balancers=balancer, seed=5)
+    load.start(attrs.evolve(plan, pause_s=0.0001), CLOSED_LOOP_CALLERS)
+    time.sleep(CLOSED_LOOP_S)
+    load.stop()
+    answered = load.counts()["answered"] / CLOSED_LOOP_S
+    return [
+        Figure(name="direct call, latency p50", value=percentile(straight, 0.5), unit="s"),
+        Figure(name="added by balancer and agent, latency p50", value=added, unit="s"),
+        Figure(name="requests a second through one balancer", value=answered, unit="1/s"),
+    ]
+
+
 def _measure_new_flows(cluster: Cluster, fabric: Fabric) -> list[Figure]:
     address = SAMAHAN.entries[0].address
     total = int(NEW_FLOWS_PER_S * NEW_FLOWS_S)
