Free the links' addresses before a scenario ends

Cause: a link's listener closed up to 0.1 s after its board, so another run that claimed the network right then could not bind (seen once, with two runs side by side).

--- a/lentilcourse/lab/links.py
+++ b/lentilcourse/lab/links.py
@@ -37,7 +37,12 @@
         self._listener.bind(listen.pair())
         self._listener.listen(BACKLOG)
         self._listener.settimeout(POLL_S)
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._acceptor = threading.Thread(target=self._accept, daemon=True)
+        self._acceptor.start()
+
+    def join(self) -> None:
+        """Wait until the listener is closed, after the stop was set."""
+        self._acceptor.join()
 
     def _accept(self) -> None:
         with self._listener:
@@ -125,5 +130,7 @@
             link.backward = True
 
     def close(self) -> None:
-        """End all links."""
+        """End all links and free their addresses."""
         self._stop.set()
+        for link in self._links.values():
+            link.join()
