Expect no outcome from an agent's former run

Cause: a key whose home was killed while it ran, and came back, was waited for 30 s at each resend: the record named the target, not the run of its agent, so its outcome seemed to be still on the way. Ruled out: a lost stream (other requests to that agent were answered). Change: a record names the agent's run; a former run's outcome is 'unknown' at once. Conclusion: an honest 'unknown' comes at once instead of after 30 s.

--- a/lentilcourse/agent/idempotency.py
+++ b/lentilcourse/agent/idempotency.py
@@ -26,7 +26,7 @@
 
     Attributes:
         fingerprint: digest of the request under which the key was first used.
-        owner: target whose agent runs the request.
+        owner: run of the agent that runs the request, NAME/RUN.
         ended: set once the outcome is known, or known to be unknown.
         start: stored start of the answer.
         body: stored body of the answer.
@@ -101,7 +101,9 @@
         """Remove a key of another agent whose request provably did not run."""
         with self._lock:
             record = self._records.get((entry_id, key))
-            if record is not None and record.owner == owner and not record.ended.is_set():
+            if record is None or record.ended.is_set():
+                return
+            if record.owner.partition("/")[0] == owner:
                 del self._records[(entry_id, key)]
 
     def _evict(self) -> None:
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -44,6 +44,8 @@
         self._history = KeyHistory(name=name)
         self._table: BucketTable = EMPTY_TABLE
         self._live: frozenset[str] = frozenset()
+        self._live_runs: frozenset[str] = frozenset()
+        self.own_run = run_name(name, agent_run)
         self._version = 0
         self._claims: dict[str, threading.Event] = {}
 
@@ -58,6 +60,9 @@
             self._live = frozenset(
                 each.name for each in members if not each.lost and each.name != self._name
             )
+            self._live_runs = frozenset(
+                run_name(each.name, each.agent_run) for each in members if not each.lost
+            )
             former, self._table = self._table, build_table(new, own.service)
             self._version = new.version
             self._history.on_table(
@@ -83,8 +88,11 @@
             return self._history.judge(bucket_of(key.encode()), key, wall_clock_ms())
 
     def owner_runs(self, record: KeyRecord) -> bool:
-        """Return whether the outcome of a record may still come."""
-        return record.owner == self._name or record.owner in self._live
+        """Return whether the outcome of a record may still come.
+
+        An agent that has restarted has lost what it ran before.
+        """
+        return record.owner == self.own_run or record.owner in self._live_runs
 
     def claim(self, req: RequestStart, record: KeyRecord) -> bool:
         """Record a key at the backup; returns False if that is not certain."""
@@ -183,6 +191,11 @@
         )
 
 
+def run_name(name: str, agent_run: str) -> str:
+    """Return the identity of one run of an agent."""
+    return f"{name}/{agent_run}"
+
+
 def wall_clock_ms() -> int:
     """Return the wall-clock time in ms since 1970."""
     return time.time_ns() // NS_PER_MS
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -231,7 +231,7 @@
                 return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
             if verdict is not KeyVerdict.NEW:
                 return job.refuse(Cause.NOT_HOME, RAN_NO)
-        record, first = self.records.claim(job.req, self._name)
+        record, first = self.records.claim(job.req, self._keys.own_run)
         if not first:
             return self._replay(job, record)
         job.store = AnswerStore(record=record)
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -658,7 +658,7 @@
         entry_id: entry of the request.
         key: idempotency key.
         fingerprint: digest of the request.
-        owner: target whose agent runs the request.
+        owner: run of the agent that runs the request, NAME/RUN.
         ended: whether the outcome is known.
         start: start of the stored answer.
         body: body of the stored answer.
