--- a/lentilcourse/lab/target.py
+++ b/lentilcourse/lab/target.py
@@ -188,19 +188,24 @@
                 self._reply(503, b"shed", {"Refusal-Ran": "no", "Retry-After": "1"})
                 return
             try:
-                self._execute(query, body, started)
+                answer = self._execute(query, body, started)
             finally:
                 model.leave(time.monotonic() - started)
+            if answer is not None:
+                self._reply(200, answer, {"Answered-By": model.name})
 
-        def _execute(self, query: dict[str, list[str]], body: bytes, started: float) -> None:
+        def _execute(
+            self, query: dict[str, list[str]], body: bytes, started: float
+        ) -> bytes | None:
+            """Return the answer's body, None if the request was cancelled."""
             token = self.headers.get("Idempotency-Key") or query.get("id", [""])[0]
             model.note_execution(token)
             size = float(query.get("size", ["1"])[0])
             if not self._run_for(model.service_s(size, started)):
-                return
+                return None
             length = int(query.get("bytes", ["0"])[0])
             text = f"{token}|{model.name}|".encode() + body
-            self._reply(200, text + b"x" * length, {"Answered-By": model.name})
+            return text + b"x" * length
 
         def _run_for(self, seconds: float) -> bool:
             """Run until done; returns False if the caller has cancelled."""
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -67,7 +67,7 @@
             return [("behave", f"exit status {result.returncode}")]
         features = json.loads(report.read_text(encoding="utf-8"))
     scenarios = [
-        (element["name"], element.get("status", "untested"))
+        (element["name"].strip(), element.get("status", "untested"))
         for feature in features
         for element in feature.get("elements", ())
         if element["type"] != "background"
