--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import threading
-import time
 from functools import singledispatchmethod
 from typing import Final
 
@@ -16,6 +15,7 @@
 from lentilcourse.agent.key_history import KeyHistory, KeyVerdict
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.buckets import EMPTY_TABLE, BucketTable, bucket_of, build_table
+from lentilcourse.clocks import wall_clock_ms
 from lentilcourse.ids import new_id
 from lentilcourse.messages import (
     ClaimAcknowledged,
@@ -27,7 +27,6 @@
 from lentilcourse.model import State
 
 CLAIM_TIMEOUT_S: Final = 0.5
-NS_PER_MS: Final = 1_000_000
 
 
 class KeyReplication:
@@ -194,8 +193,3 @@
 def run_name(name: str, agent_run: str) -> str:
     """Return the identity of one run of an agent."""
     return f"{name}/{agent_run}"
-
-
-def wall_clock_ms() -> int:
-    """Return the wall-clock time in ms since 1970."""
-    return time.time_ns() // NS_PER_MS
--- /dev/null
+++ b/lentilcourse/clocks.py
@@ -0,0 +1,13 @@
+"""Wall-clock time, for records that people read and keys that carry a time."""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+NS_PER_MS: Final = 1_000_000
+
+
+def wall_clock_ms() -> int:
+    """Return the wall-clock time in ms since 1970."""
+    return time.time_ns() // NS_PER_MS
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -24,6 +24,7 @@
     RefusedAccess,
     SetDomain,
 )
+from lentilcourse.clocks import wall_clock_ms
 from lentilcourse.controller.leases import LeaseTable, due_actions
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
@@ -265,11 +266,6 @@
                 self._proposing.discard(place)
 
 
-def wall_clock_ms() -> int:
-    """Return the wall-clock time in ms since 1970, for records that people read."""
-    return time.time_ns() // 1_000_000
-
-
 @singledispatch
 def answer(msg: object, controller: Controller, caller: Caller) -> object:
     """Return the answer to a request, by its kind."""
--- a/lentilcourse/error_texts.py
+++ b/lentilcourse/error_texts.py
@@ -38,7 +38,6 @@
 PEER_UNKNOWN: Final = "no key is known for {kind} {name!r}"
 
 # Catalogue.
-NAME_TAKEN: Final = "{name!r} exists already; edit it with its version {version}"
 ADDRESS_TAKEN: Final = "{address} ({protocol}) belongs to entry {name!r}"
 NOT_FOUND: Final = "{name!r} does not exist"
 LIMIT_RANGE: Final = "must be from {low} to {high}, or 0 for no limit"
@@ -52,7 +51,6 @@
 # Consensus.
 NOT_LEADER: Final = "this replica is not the leader"
 PROPOSAL_UNKNOWN: Final = "no outcome within {seconds} s; resend under the same change id"
-NOT_BOOTSTRAPPED: Final = "controller holds no data; bootstrap or repair it first"
 ALREADY_BOOTSTRAPPED: Final = "controller already holds data of replica {replica_id}"
 MEMBERSHIP_BUSY: Final = "another membership change is not committed yet"
 MEMBERSHIP_NO_CHANGE: Final = "membership already has that form"
--- a/lentilcourse/errors.py
+++ b/lentilcourse/errors.py
@@ -68,10 +68,6 @@
     """Durable state cannot be read or written."""
 
 
-class DamagedLogError(StorageError):
-    """The log holds bytes that were synced and cannot be read back."""
-
-
 class NotLeaderError(LentilcourseError):
     """This replica cannot accept proposals now."""
 
--- a/lentilcourse/lab/fabric.py
+++ b/lentilcourse/lab/fabric.py
@@ -155,11 +155,6 @@
         """Return the number of open flows."""
         return sum(flow.state == "open" for flow in self.flows.values())
 
-    def close_flow(self, flow: CallerFlow) -> None:
-        """Forget a flow."""
-        with self._lock:
-            self.flows.pop(flow.key, None)
-
     def _pace_flow(self, flow: CallerFlow, interval_s: float, now: float) -> None:
         if flow.waiting_since is None:
             if now - flow.last_send >= interval_s:
--- a/lentilcourse/packets.py
+++ b/lentilcourse/packets.py
@@ -27,7 +27,6 @@
 PROTOCOL_UDP: Final = 17
 DEFAULT_TTL: Final = 64
 FLAG_DONT_FRAGMENT: Final = 0x4000
-FRAGMENT_MASK: Final = 0x3FFF
 
 TCP_FIN: Final = 0x01
 TCP_SYN: Final = 0x02
@@ -75,11 +74,6 @@
     return packet[12:24] + packet[9:10]
 
 
-def service_key(packet: bytes) -> bytes:
-    """Return destination address and port and protocol of a checked packet (7 bytes)."""
-    return packet[16:20] + packet[22:24] + packet[9:10]
-
-
 def service_key_of(key: bytes) -> bytes:
     """Return the service key that belongs to a flow key."""
     return key[4:8] + key[10:13]
@@ -95,11 +89,6 @@
     return bytes(int(part) for part in host.split("."))
 
 
-def format_host(raw: bytes) -> str:
-    """Return 4 bytes as a dotted IPv4 address."""
-    return ".".join(str(part) for part in raw)
-
-
 def udp_payload(packet: bytes) -> bytes:
     """Return the payload of a checked UDP packet."""
     return packet[MIN_PACKET_BYTES:]
@@ -189,7 +178,9 @@
     raw = text.encode()
     raw += b"\0" * (-len(raw) % 4)
     extension = ICMP_EXTENSION_VERSION.to_bytes(2, "big") + b"\0\0"
-    extension += _ICMP_OBJECT.pack(_ICMP_OBJECT.size + len(raw), ICMP_OBJECT_CLASS, 1) + raw
+    extension += (
+        _ICMP_OBJECT.pack(_ICMP_OBJECT.size + len(raw), ICMP_OBJECT_CLASS, ICMP_OBJECT_TYPE) + raw
+    )
     extension = _with_checksum(extension, 2)
     words = ICMP_QUOTE_BYTES // 4
     head = _ICMP_HEADER.pack(ICMP_UNREACHABLE, code, 0, 0, words, 0)
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -47,7 +47,6 @@
     BACKUP_UNREACHABLE = "backup-unreachable"
     KEY_REUSED = "key-reused"
     STOPPING = "stopping"
-    LOOP = "no-owner-found"
 
 
 MAX_REMEMBERED: Final = 5_000
