Believe a restarted agent only once it has its flows back; ask recorders

An agent that had restarted said RegistrationComplete on each new stream at once, before its peers had sent what they recorded for it. A home that appeared in that moment took the owner's silence for the end of its flows and opened them anew elsewhere. The same home probed only the agents that had not confirmed, so the one that had recorded the flow for the absent owner was never asked. A recovered flow was not registered with a home that had become its home since. Last, a message queued between connect and greeting could overtake the greeting it completes.

Change: RecordsSent ends what an agent has recorded for a peer; a restarted agent says RegistrationComplete only after all live peers have sent it, or after 10 s. Homes probe all peers; recorders answer with RecordedFlows. Recovered flows are registered. A peer's queue holds other messages until the greeting is queued. The checks print the failed step and error of a scenario.

A home that leaves as planned while an owner is down still takes the records with it, unless the home before it has them; not covered.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -7,6 +7,9 @@
       | property                          |
       | flows.owner_stays                 |
       | flows.unknown_home_learns_owner   |
+      | flows.restarted_owner_keeps_flows |
+      | flows.new_home_asks_recorders     |
+      | flows.early_word_is_not_believed  |
       | flows.admission_is_safe           |
       | flows.cold_limit_grows            |
       | flows.rate_never_exceeded         |
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -116,9 +116,11 @@
         pass
 
     def is_connected(self, name):
-        return True
+        return self.world.is_up(name)
 
     def send(self, name, msg):
+        if not self.is_connected(name):
+            return
         self.world.streams.setdefault((self.name, name), []).append(msg)
 
     def broadcast(self, msg):
@@ -137,6 +139,7 @@
         self.datagrams = []
         self.refused = set()
         self.owners = {}
+        self.ports = {}
         self.flows = []
         state = change_state(State(), ENTRY)
         for name in NAMES[:3]:
@@ -176,6 +179,9 @@
             return
         self.datagrams.append((source, datagram, address))
 
+    def is_up(self, name):
+        return True
+
     @property
     def newest(self):
         return self.states[-1]
@@ -195,10 +201,15 @@
     @rule(name=st.sampled_from(NAMES))
     def apply_next(self, name):
         """Let one agent learn the next version."""
-        if self.applied[name] + 1 < len(self.states):
+        if self.is_up(name) and self.applied[name] + 1 < len(self.states):
             self.applied[name] += 1
             self.planes[name].on_state(self.states[self.applied[name]], self.now)
 
+    def apply_all(self, name):
+        """Let one agent learn all versions, one by one."""
+        while self.is_up(name) and self.applied[name] + 1 < len(self.states):
+            self.apply_next(name)
+
     @rule(
         name=st.sampled_from(NAMES),
         what=st.sampled_from(("join", "drain", "lose")),
@@ -209,8 +220,7 @@
         """Change the table, let some agents learn it, and send on every flow at once."""
         self.change_membership(name, what)
         for each in sorted(learners):
-            while self.applied[each] + 1 < len(self.states):
-                self.apply_next(each)
+            self.apply_all(each)
         for key in list(self.owners):
             self.send(key, age)
             self.run_datagrams()
@@ -254,17 +264,17 @@
         holders = self.holders(key)
         if holders:
             self.owners[key] = holders[0]
+            self.ports[key] = self.local_port(key, holders[0])
 
     @rule()
     def settle(self):
         """Let everybody learn the newest version, and all messages pass."""
         for name in NAMES:
-            while self.applied[name] + 1 < len(self.states):
-                self.apply_next(name)
+            self.apply_all(name)
         self.run_all_streams()
         self.now += 0.5
-        for plane in self.planes.values():
-            plane.on_tick(self.now)
+        for name in filter(self.is_up, NAMES):
+            self.planes[name].on_tick(self.now)
         self.run_all_streams()
 
     def run_all_streams(self):
@@ -286,11 +296,18 @@
                 return
             source, datagram, address = self.datagrams.pop(0)
             name = f"t{address[0].rpartition('.')[2]}"
+            if not self.is_up(name):
+                continue
             source_address = (f"127.0.0.{source[1:]}", 1) if source in NAMES else ("127.1.1.1", 1)
             self.planes[name].on_datagram(datagram, source_address, self.now)
 
     def holders(self, key):
-        return [name for name in NAMES if self.planes[name].flows.get(key) is not None]
+        up = filter(self.is_up, NAMES)
+        return [name for name in up if self.planes[name].flows.get(key) is not None]
+
+    def local_port(self, key, name):
+        """Return the port from which an owner speaks to its target."""
+        return self.planes[name].flows.get(key).channel.local_port
 
     @invariant()
     def owner_stays(self):
@@ -335,6 +352,147 @@
     world.teardown()
 
 
+@attrs.define(kw_only=True)
+class FakeStream:
+    """The outgoing side of a stream that was just opened."""
+
+    world: FlowWorld
+    source: str
+    target: object
+
+    def send_first(self, msg):
+        self.world.streams.setdefault((self.source, self.target.name), []).append(msg)
+
+
+class RestartWorld(FlowWorld):
+    """The same agents, of which one at a time stops and starts again without its memory."""
+
+    def __init__(self):
+        self.down = None
+        super().__init__()
+
+    def is_up(self, name):
+        return name != self.down
+
+    @rule(name=st.sampled_from(NAMES))
+    def stop_agent(self, name):
+        """End an agent as planned: it waits for its own loss and for what it has sent.
+
+        One whose lease has expired cannot tell anybody; its flows may be given up.
+        """
+        lose = LoseTarget(name=name, incarnation="run-1", planned=True)
+        after = change_state(self.newest, lose)
+        if self.down is not None or after is self.newest:
+            return
+        self.states.append(after)
+        self.apply_all(name)
+        for pair in [pair for pair in self.streams if pair[0] == name]:
+            for msg in self.streams.pop(pair):
+                self.planes[pair[1]].on_message(msg, name, self.now)
+        self.kill_agent(name)
+
+    def kill_agent(self, name):
+        """End an agent; what is under way to it and from it is lost."""
+        self.down = name
+        for pair in [pair for pair in self.streams if name in pair]:
+            del self.streams[pair]
+        for other in NAMES:
+            if other != name:
+                self.planes[other].on_peer_lost(name)
+
+    @rule(rejoins=st.booleans())
+    def start_agent(self, rejoins):
+        """Start the agent that is down; its target has run on."""
+        name = self.down
+        if name is None:
+            return
+        self.down = None
+        if rejoins:
+            self.change_membership(name, "join")
+        self.planes[name] = self.plane(name)
+        self.applied[name] = len(self.states) - 1
+        self.planes[name].on_state(self.newest, self.now)
+        for other in NAMES:
+            if other != name:
+                self.open_stream(name, other)
+                self.open_stream(other, name)
+
+    def open_stream(self, source, target):
+        """Let one side of a stream greet the other, if it knows it."""
+        state = self.states[self.applied[source]]
+        record = state.targets.get(target)
+        if record is not None and source in state.targets:
+            stream = FakeStream(world=self, source=source, target=record)
+            self.planes[source].greet(stream, self.now)
+
+    @rule()
+    def settle(self):
+        """Start what is down, then settle as before."""
+        self.start_agent(True)
+        super().settle()
+
+    @invariant()
+    def owner_stays(self):
+        """No other agent ever takes a flow, and no caller is refused."""
+        for key, owner in self.owners.items():
+            holders = self.holders(key)
+            assert holders in ([], [owner]), (key.hex(), holders, owner)
+            assert key not in self.refused
+            for name in holders:
+                assert self.local_port(key, name) == self.ports[key], key.hex()
+
+
+@prop("flows.restarted_owner_keeps_flows")
+def check_restart():
+    """Restarts amid table changes, learnt unevenly, never move an established flow."""
+    run_state_machine_as_test(
+        RestartWorld, settings=settings(max_examples=80, stateful_step_count=40)
+    )
+
+
+@prop("flows.new_home_asks_recorders")
+def check_recorders():
+    """A home that appears while an owner is down learns the owner from those that recorded it."""
+    world = RestartWorld()
+    for _ in range(12):
+        world.open_flow(0)
+    world.stop_agent("t2")
+    world.change_membership("t4", "join")
+    for name in ("t1", "t3", "t4"):
+        world.apply_all(name)
+    world.run_all_streams()
+    for _ in range(8):
+        for key in list(world.owners):
+            world.send(key, 0)
+            world.run_datagrams()
+            world.run_all_streams()
+            world.owner_stays()
+        world.now += 0.5
+    world.teardown()
+
+
+@prop("flows.early_word_is_not_believed")
+def check_early_word():
+    """A home does not take an owner's word before that owner has its flows back."""
+    world = RestartWorld()
+    for _ in range(12):
+        world.open_flow(0)
+    world.stop_agent("t2")
+    world.change_membership("t4", "join")
+    for name in ("t1", "t3", "t4"):
+        world.apply_all(name)
+    world.run_all_streams()
+    world.start_agent(False)
+    for source in ("t1", "t2", "t3"):
+        for msg in world.streams.pop((source, "t4"), []):
+            world.planes["t4"].on_message(msg, source, world.now)
+    for key in list(world.owners):
+        world.send(key, 0)
+        world.run_datagrams()
+        world.owner_stays()
+    world.teardown()
+
+
 views = st.builds(
     AdmissionView,
     health=st.sampled_from(TargetHealth),
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -2,7 +2,8 @@
 
 After a bucket has moved here, each other agent of the service must say that it has registered
 its flows at that version or a later one. Until then an unknown flow may be an old one: the
-home probes the agents that have not said so instead of treating the flow as new.
+home probes for its owner instead of treating the flow as new. An agent that has just started
+says nothing of the kind before the others have sent it what they recorded for it.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 
 PROBE_WAIT_S: Final = 0.4
 START_WAIT_S: Final = 2.0
+RECOVERY_WAIT_S: Final = 10.0
 LOST_WAIT_S: Final = 2.5
 PLANNED_STOP_WAIT_S: Final = 30.0
 PROBE_LIFE_S: Final = 5.0
@@ -27,6 +29,7 @@
         self._connected = connected
         self._home_since = [0] * BUCKETS
         self._complete: dict[str, int] = {}
+        self._sent_records: set[str] = set()
         self._lost_since: dict[str, float] = {}
         self._planned: set[str] = set()
         self._joined = float("-inf")
@@ -58,9 +61,26 @@
         """Note that a peer has registered all its flows as of `version`."""
         self._complete[peer] = max(version, self._complete.get(peer, -1))
 
-    def has_confirmed(self, peer: str | None) -> bool:
-        """Return whether a peer has completed its registration over its present stream."""
-        return peer in self._complete
+    def note_records_sent(self, peer: str) -> None:
+        """Note that a peer has sent all that it recorded for this agent."""
+        self._sent_records.add(peer)
+
+    def has_sent_records(self, peer: str | None) -> bool:
+        """Return whether a peer has sent all that it recorded for this agent."""
+        return peer in self._sent_records
+
+    def memory_is_whole(self, view: FlowView, now: float) -> bool:
+        """Return whether this agent knows all flows that its target holds.
+
+        Peers whose lease has expired are not waited for, and no peer for ever.
+        """
+        if now - self._joined >= RECOVERY_WAIT_S:
+            return True
+        return all(
+            name in self._sent_records
+            for name, peer in view.peers.items()
+            if not peer.lost and name not in view.out
+        )
 
     def revoke(self, peer: str) -> None:
         """Forget a peer's confirmation, because its stream has ended."""
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -29,6 +29,8 @@
     FlowLoad,
     FlowRecord,
     ForgetFlows,
+    RecordedFlows,
+    RecordsSent,
     RecoveredFlows,
     RegisterFlows,
     RegistrationComplete,
@@ -69,6 +71,7 @@
         self._monitor = monitor
         self._balance = balance
         self._own = own
+        self._memory_whole = False
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
         """Follow a new view: what is recorded here, and where the own flows are recorded."""
@@ -93,16 +96,21 @@
             self.directory.put(key, entry)
 
     def on_probed(self, key: bytes, source: tuple[str, int], now: float) -> None:
-        """Tell a home that has lost its memory if it is itself the owner that it looks for."""
+        """Tell a home who owns the flow that it looks for, if that is recorded here.
+
+        The home itself may be the owner and have lost its memory, or the owner may be down.
+        """
         home = self.view.by_address.get(source)
         known = self.directory.find(key, now)
         target = self.view.peers.get(home) if home is not None else None
-        if known is None or target is None or known.owner != home or not known.registered:
+        if known is None or target is None or not known.registered:
             return
-        record = FlowRecord(
-            key=key, entry_id=known.entry_id, local_port=known.local_port, idle_ms=0
-        )
-        self.send(home, RecoveredFlows(incarnation=target.incarnation, flows=(record,)))
+        flows = (known.record(key),)
+        if known.owner == home:
+            self.send(home, RecoveredFlows(incarnation=target.incarnation, flows=flows))
+        else:
+            msg = RecordedFlows(owner=known.owner, version=known.version, flows=flows)
+            self.send(home, msg)
 
     def _forget_former_runs(self, old: FlowView, new: FlowView) -> None:
         for name, peer in new.peers.items():
@@ -129,8 +137,21 @@
                 moved.setdefault(recorder, []).append(flow.record(now))
         for name, records in moved.items():
             self.register_with(name, records)
+        self._memory_whole = self.completeness.memory_is_whole(new, now)
+        if self._memory_whole:
+            self._broadcast_complete()
+
+    def check_memory(self, now: float) -> None:
+        """Tell the peers once this agent has its flows back and has registered them."""
+        if self._memory_whole or self.view.own is None or self.to_recover:
+            return
+        if self.completeness.memory_is_whole(self.view, now):
+            self._memory_whole = True
+            self._broadcast_complete()
+
+    def _broadcast_complete(self) -> None:
         if self.peers is not None:
-            self.peers.broadcast(RegistrationComplete(owner=self._name, version=new.version))
+            self.peers.broadcast(RegistrationComplete(owner=self._name, version=self.view.version))
 
     def greet(self, peer: AgentPeer, now: float) -> None:
         """Register everything with a peer to which a stream was just opened."""
@@ -142,10 +163,12 @@
         ]
         for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
             part = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
-            peer.send(RegisterFlows(owner=self._name, version=view.version, flows=part))
+            peer.send_first(RegisterFlows(owner=self._name, version=view.version, flows=part))
         for recorded in self._recorded_for(peer.target.name):
-            peer.send(recorded)
-        peer.send(RegistrationComplete(owner=self._name, version=view.version))
+            peer.send_first(recorded)
+        peer.send_first(RecordsSent(recorder=self._name))
+        if self._memory_whole:
+            peer.send_first(RegistrationComplete(owner=self._name, version=view.version))
 
     def _recorded_for(self, owner: str) -> list[RecoveredFlows]:
         target = self.view.peers.get(owner)
@@ -194,6 +217,29 @@
     def _on_complete(self, msg: RegistrationComplete, peer: str, now: float) -> None:
         self.completeness.confirm(peer, msg.version)
 
+    @on_message.register
+    def _on_records_sent(self, msg: RecordsSent, peer: str, now: float) -> None:
+        self.completeness.note_records_sent(peer)
+        self.check_memory(now)
+
+    @on_message.register
+    def _on_recorded(self, msg: RecordedFlows, peer: str, now: float) -> None:
+        if msg.owner not in self.view.peers:
+            return
+        for record in msg.flows:
+            known = self.directory.find(record.key, now)
+            owned = self._flows.get(record.key) is not None
+            if owned or (known is not None and known.registered):
+                continue
+            self.completeness.end_probe(record.key)
+            entry = DirectoryEntry(
+                owner=msg.owner,
+                entry_id=record.entry_id,
+                local_port=record.local_port,
+                version=msg.version,
+            )
+            self.directory.put(record.key, entry)
+
     @on_message.register
     def _on_load(self, msg: FlowLoad, peer: str, now: float) -> None:
         self._balance.note(peer, msg)
@@ -213,11 +259,13 @@
             if msg.incarnation == last.incarnation:
                 for record in msg.flows:
                     self._recover_flow(record, now)
+        self.check_memory(now)
 
     def _recover_flow(self, record: FlowRecord, now: float) -> None:
         known = record.entry_id in self.view.entries and not self.view.domain_out
         if known and self._flows.get(record.key) is None and self._own(record, now):
             self.counts.recovered += 1
+            self.register_with(self.view.recorder(bucket_of(record.key)), [record])
 
     def _is_connected(self, name: str) -> bool:
         return self.peers is not None and self.peers.is_connected(name)
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -231,11 +231,11 @@
     def _on_not_owner(self, key: bytes, packet: bytes, source: tuple[str, int]) -> None:
         """Tell a home that its record is void, unless this agent may have lost its memory.
 
-        A home that has completed its registration has also sent what it recorded for this
-        agent; before that, the record may be all that is left of the flow.
+        Before the home has sent what it recorded for this agent, that record may be all that
+        is left of the flow.
         """
         home = self._view.by_address.get(source)
-        if not self._completeness.has_confirmed(home):
+        if not self._completeness.has_sent_records(home):
             self.counts.recovering += 1
             return
         self.counts.unknown_flow += 1
@@ -260,7 +260,7 @@
             return
         waiting = self._completeness.unconfirmed(view, bucket, now)
         if waiting and not self._completeness.probe_answered_late(key, now):
-            self._probe(waiting, entry, label, packet)
+            self._probe(entry, label, packet)
             return
         self._completeness.end_probe(key)
         if not opens_flow(packet):
@@ -314,8 +314,9 @@
         )
         self._send(header + packet, target.data_address.pair())
 
-    def _probe(self, names: list[str], entry: Entry, label: PacketLabel, packet: bytes) -> None:
-        for name in names:
+    def _probe(self, entry: Entry, label: PacketLabel, packet: bytes) -> None:
+        """Ask all peers: the owner may be down, and any of the others may have recorded it."""
+        for name in self._view.peers:
             self.counts.probes += 1
             self._pass_on(name, entry, label, packet, FLAG_PROBE)
 
--- a/lentilcourse/agent/flow_table.py
+++ b/lentilcourse/agent/flow_table.py
@@ -114,6 +114,10 @@
         """Whether the owner itself has registered the flow."""
         return not self.tried
 
+    def record(self, key: bytes) -> FlowRecord:
+        """Return the flow as its owner registered it; how long it is idle is not known."""
+        return FlowRecord(key=key, entry_id=self.entry_id, local_port=self.local_port, idle_ms=0)
+
 
 class Directory:
     """Owners of flows by flow key."""
@@ -154,7 +158,7 @@
     def flows_of(self, owner: str) -> list[FlowRecord]:
         """Return all registered flows of an owner."""
         return [
-            FlowRecord(key=key, entry_id=entry.entry_id, local_port=entry.local_port, idle_ms=0)
+            entry.record(key)
             for key, entry in self._entries.items()
             if entry.owner == owner and entry.registered
         ]
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -78,8 +78,8 @@
     def greet(self, peer: AgentPeer, now: float) -> None:
         """Send a peer every record that it should hold, over a stream just opened."""
         for state in self._states_for(peer.target.name, EMPTY_TABLE):
-            peer.send(state)
-        peer.send(self._complete())
+            peer.send_first(state)
+        peer.send_first(self._complete())
 
     def judge(self, key: str) -> KeyVerdict:
         """Return what may be done with a key of which there is no record."""
--- a/lentilcourse/agent/peers.py
+++ b/lentilcourse/agent/peers.py
@@ -2,7 +2,8 @@
 
 Each agent keeps one outgoing stream to every other agent of its service: a task sends what is
 queued for that peer. After each (re)connect the agent registers all its flows anew, so that a
-lost stream loses no registration. Incoming streams are read by their own tasks.
+lost stream loses no registration; nothing else goes to the peer before that. Incoming streams
+are read by their own tasks.
 """
 
 from __future__ import annotations
@@ -26,18 +27,37 @@
 
 
 class AgentPeer:
-    """The outgoing side to one other agent."""
+    """The outgoing side to one other agent.
+
+    Attributes:
+        target: the target beside the peer.
+        connected: whether there is a stream.
+    """
 
     def __init__(self, *, target: Target) -> None:
         self.target = target
         self.connected = False
+        self._lock = threading.Lock()
         self._queue: queue.Queue[object] = queue.Queue(maxsize=MAX_QUEUED)
+        self._held: list[object] | None = None
         self._ended = threading.Event()
 
     def send(self, msg: object) -> None:
-        """Queue a message; without a stream it is dropped, a reconnect registers anew."""
-        if not self.connected:
-            return
+        """Queue a message; without a stream it is dropped, a reconnect registers anew.
+
+        While the peer is greeted, the message is held: it may say that something is complete
+        that the greeting has yet to carry.
+        """
+        with self._lock:
+            if not self.connected:
+                return
+            if self._held is not None:
+                self._held.append(msg)
+            else:
+                self.send_first(msg)
+
+    def send_first(self, msg: object) -> None:
+        """Queue a message of the greeting, before all that is held."""
         try:
             self._queue.put_nowait(msg)
         except queue.Full:
@@ -68,9 +88,9 @@
     ) -> None:
         stream = connect_stream(self.target.stream_address, identity)
         try:
-            self._queue = queue.Queue(maxsize=MAX_QUEUED)
-            self.connected = True
+            self._begin_greeting()
             greet(self, time.monotonic())
+            self._end_greeting()
             while self.connected and not stream.closed:
                 if self._ended.is_set() or lifecycle.stopped.is_set():
                     return
@@ -82,6 +102,18 @@
         finally:
             stream.close()
 
+    def _begin_greeting(self) -> None:
+        with self._lock:
+            self._queue = queue.Queue(maxsize=MAX_QUEUED)
+            self._held = []
+            self.connected = True
+
+    def _end_greeting(self) -> None:
+        with self._lock:
+            held, self._held = self._held or [], None
+            for msg in held:
+                self.send_first(msg)
+
 
 class AgentPeers:
     """The outgoing streams to all agents of the own service."""
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -27,6 +27,8 @@
     ForgetFlows,
     KeysComplete,
     KeyState,
+    RecordedFlows,
+    RecordsSent,
     RecoveredFlows,
     RegisterFlows,
     RegistrationComplete,
@@ -51,6 +53,8 @@
     ForgetFlows,
     RegistrationComplete,
     FlowLoad,
+    RecordedFlows,
+    RecordsSent,
     RecoveredFlows,
 )
 
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -618,7 +618,10 @@
 @message
 @attrs.frozen(kw_only=True)
 class RegistrationComplete:
-    """The owner has registered all its flows with their homes of state `version`."""
+    """The owner has registered all its flows with their homes of state `version`.
+
+    An owner that has restarted says so only once it has its flows back.
+    """
 
     owner: str
     version: int
@@ -636,6 +639,24 @@
     flows: tuple[FlowRecord, ...]
 
 
+@message
+@attrs.frozen(kw_only=True)
+class RecordsSent:
+    """The sender has sent all that it has recorded for the receiver."""
+
+    recorder: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class RecordedFlows:
+    """Flows of a third agent that the sender has recorded; the answer to a probe."""
+
+    owner: str
+    version: int
+    flows: tuple[FlowRecord, ...]
+
+
 @message
 @attrs.frozen(kw_only=True)
 class FlowLoad:
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -11,7 +11,11 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any, Final
 
+import attrs
+
+SHOWN_ERROR_LINES: Final = 15
 ROOT = Path(__file__).resolve().parent.parent
 CHECKS = (
     ("formatter", ("-m", "black", "--check", "--quiet", ".")),
@@ -20,6 +24,15 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """How one scenario ended, and why it failed."""
+
+    name: str
+    passed: bool
+    why: str
+
+
 def main() -> int:
     """Run everything; returns the exit status."""
     passed, failed, red = 0, 0, 0
@@ -29,16 +42,16 @@
         passed += status == 0
         failed += status != 0
     known = read_known_red()
-    for name, status in run_scenarios(sys.argv[1:]):
-        if name in known:
+    for outcome in run_scenarios(sys.argv[1:]):
+        if outcome.name in known:
             red += 1
-            note = "passes now; remove it" if status == "passed" else "fails as known"
-            print(f"KNOWN-RED: {name}: {note}")
+            note = "passes now; remove it" if outcome.passed else f"fails as known\n{outcome.why}"
+            print(f"KNOWN-RED: {outcome.name}: {note}")
             continue
-        passed += status == "passed"
-        failed += status != "passed"
-        if status != "passed":
-            print(f"FAILED: {name} ({status})")
+        passed += outcome.passed
+        failed += not outcome.passed
+        if not outcome.passed:
+            print(f"FAILED: {outcome.name}\n{outcome.why}")
     if red:
         print(f"{red} known red, see KNOWN-RED.txt")
     print(f"{passed} passed, {failed} failed")
@@ -52,8 +65,8 @@
     return {line.split("|")[0].strip() for line in entries}
 
 
-def run_scenarios(arguments: list[str]) -> list[tuple[str, str]]:
-    """Run behave and return name and status of each scenario."""
+def run_scenarios(arguments: list[str]) -> list[Outcome]:
+    """Run behave and return the outcome of each scenario."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         command = [
@@ -63,18 +76,38 @@
             *(arguments or ["features"]),
         ]
         result = subprocess.run(command, cwd=ROOT, check=False)
-        if not report.exists() or not report.read_text(encoding="utf-8").strip():
-            return [("behave", f"exit status {result.returncode}")]
-        features = json.loads(report.read_text(encoding="utf-8"))
-    scenarios = [
-        (element["name"].strip(), element.get("status", "untested"))
-        for feature in features
+        text = report.read_text(encoding="utf-8") if report.exists() else ""
+    ended = Outcome(name="behave", passed=False, why=f"exit status {result.returncode}")
+    outcomes = read_report(text) if text.strip() else []
+    if not outcomes or (result.returncode != 0 and all(each.passed for each in outcomes)):
+        outcomes.append(ended)
+    return outcomes
+
+
+def read_report(text: str) -> list[Outcome]:
+    """Return the outcome of each scenario in behave's JSON report."""
+    return [
+        Outcome(
+            name=element["name"].strip(),
+            passed=element.get("status") == "passed",
+            why=failure_of(element),
+        )
+        for feature in json.loads(text)
         for element in feature.get("elements", ())
         if element["type"] != "background"
     ]
-    if result.returncode != 0 and all(status == "passed" for _, status in scenarios):
-        scenarios.append(("behave", f"exit status {result.returncode}"))
-    return scenarios or [("behave", "ran no scenario")]
+
+
+def failure_of(element: dict[str, Any]) -> str:
+    """Return the step at which a scenario failed, and the last lines of its error."""
+    for step in element.get("steps", ()):
+        result = step.get("result", {})
+        if result.get("status", "untested") in ("passed", "skipped"):
+            continue
+        error = result.get("error_message", [])
+        lines = error.splitlines() if isinstance(error, str) else error
+        return "\n".join([f"  {step['name']}", *lines[-SHOWN_ERROR_LINES:]])
+    return f"  {element.get('status', 'untested')}"
 
 
 if __name__ == "__main__":
