Bound silence by the last sign of life; end the load of a step that fails

A task that had been away for up to 2 s (forwarding on another silent stream) came back to its own stream and waited its whole 2 s again; and a stream with unread messages was not timed out at all. Cause 2: a step that failed while load ran left its callers running, and the test process did not end (seen with a mechanism switched off).

Ruled out: connections caught in their handshake (the ones held were established).

Change: a reader waits until the deadline after the last sign of life, not after its call; the heartbeat task closes a silent stream with unread messages once nothing more is waiting. Load is a context manager. Properties of streams: unread messages are kept, silence is noticed, a late reader does not wait.

--- a/features/control.feature
+++ b/features/control.feature
@@ -22,6 +22,9 @@
       | leases.lost_only_after_silence        |
       | messages.round_trip                   |
       | messages.foreign_values               |
+      | streams.unread_messages_are_kept      |
+      | streams.unread_silence_is_noticed     |
+      | streams.away_reader_is_not_late       |
 
   Scenario Outline: Changes survive a leader that is "<fault>"
     Given a control deployment
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -6,7 +6,7 @@
 
 PROPERTIES = {}
 
-MODULES = ("packets", "catalogue", "flows", "requests", "consensus")
+MODULES = ("packets", "catalogue", "flows", "requests", "consensus", "streams")
 
 
 def prop(name):
--- a/features/steps/link_steps.py
+++ b/features/steps/link_steps.py
@@ -24,18 +24,17 @@
     """Let the links forget their connections, and wait until no end holds one any more."""
     deployment = context.deployment
     links = links_to(context.board, what)
-    load = RequestLoad(balancers=deployment.cluster.request_addresses(), seed=8)
-    load.start(RequestPlan(entry="orders", keyed=True, pause_s=0.05), CALLERS)
-    load.start(RequestPlan(entry="orders", pause_s=0.05), CALLERS)
-    deployment.run_flows(BEFORE_S)
-    context.forgotten = sum(link.forget() for link in links)
-    wait_while_running(
-        deployment,
-        lambda: sum(link.forgotten_held() for link in links) == 0,
-        f"the silent connections to the {what} given up by both ends",
-    )
-    deployment.run_flows(AFTER_S)
-    load.stop()
+    with RequestLoad(balancers=deployment.cluster.request_addresses(), seed=8) as load:
+        load.start(RequestPlan(entry="orders", keyed=True, pause_s=0.05), CALLERS)
+        load.start(RequestPlan(entry="orders", pause_s=0.05), CALLERS)
+        deployment.run_flows(BEFORE_S)
+        context.forgotten = sum(link.forget() for link in links)
+        wait_while_running(
+            deployment,
+            lambda: sum(link.forgotten_held() for link in links) == 0,
+            f"the silent connections to the {what} given up by both ends",
+        )
+        deployment.run_flows(AFTER_S)
     deployment.results = load.results
 
 
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -126,14 +126,14 @@
 def run_orders(context, seconds, fault):
     """Run keyed and repeatable requests and bring the fault about in the middle."""
     deployment = context.deployment
-    deployment.load = RequestLoad(balancers=deployment.cluster.request_addresses(), seed=3)
-    deployment.load.start(RequestPlan(entry="orders", keyed=True, pause_s=0.05), CALLERS)
-    deployment.load.start(RequestPlan(entry="orders", pause_s=0.05), CALLERS)
-    started = time.monotonic()
-    time.sleep(seconds / 4)
-    FAULTS[fault](deployment)
-    time.sleep(max(0.0, seconds - (time.monotonic() - started)))
-    deployment.load.stop()
+    with RequestLoad(balancers=deployment.cluster.request_addresses(), seed=3) as load:
+        deployment.load = load
+        load.start(RequestPlan(entry="orders", keyed=True, pause_s=0.05), CALLERS)
+        load.start(RequestPlan(entry="orders", pause_s=0.05), CALLERS)
+        started = time.monotonic()
+        time.sleep(seconds / 4)
+        FAULTS[fault](deployment)
+        time.sleep(max(0.0, seconds - (time.monotonic() - started)))
     deployment.results = deployment.load.results
 
 
@@ -357,10 +357,9 @@
 def ask_at_once(context, count, service):
     """Put far more load on a service than it has slots."""
     deployment = context.deployment
-    load = RequestLoad(balancers=deployment.cluster.request_addresses(), seed=4)
-    load.start(RequestPlan(entry="orders", pause_s=0.01), count)
-    time.sleep(6.0)
-    load.stop()
+    with RequestLoad(balancers=deployment.cluster.request_addresses(), seed=4) as load:
+        load.start(RequestPlan(entry="orders", pause_s=0.01), count)
+        time.sleep(6.0)
     deployment.results = load.results
     assert load.counts()["answered"] > 0, load.counts()
 
@@ -387,15 +386,14 @@
     """Turn a target cold without a word, under load."""
     deployment = context.deployment
     cluster = deployment.cluster
-    load = RequestLoad(balancers=cluster.request_addresses(), seed=6)
-    load.start(RequestPlan(entry="orders", pause_s=0.02), 16)
-    time.sleep(3.0)
-    cluster.control_target(name, "report", 0.0)
-    cluster.control_target(name, "cold", float(seconds))
-    time.sleep(seconds + 2.0)
-    context.executed = sum(cluster.target_stats(name)["executions"].values())
-    time.sleep(6.0)
-    load.stop()
+    with RequestLoad(balancers=cluster.request_addresses(), seed=6) as load:
+        load.start(RequestPlan(entry="orders", pause_s=0.02), 16)
+        time.sleep(3.0)
+        cluster.control_target(name, "report", 0.0)
+        cluster.control_target(name, "cold", float(seconds))
+        time.sleep(seconds + 2.0)
+        context.executed = sum(cluster.target_stats(name)["executions"].values())
+        time.sleep(6.0)
     context.name = name
 
 
@@ -407,18 +405,17 @@
     """Take a domain out and back in under load; its targets are cold when it returns."""
     cluster = context.deployment.cluster
     context.names = [each.name for each in cluster.layout.targets() if each.domain == domain]
-    load = RequestLoad(balancers=cluster.request_addresses(), seed=10)
-    load.start(RequestPlan(entry="orders", pause_s=0.01), 30)
-    time.sleep(2.0)
-    accept(context.deployment, SetDomain(name=domain, state="out"), 0)
-    time.sleep(1.0)
-    for name in context.names:
-        cluster.control_target(name, "cold", float(seconds))
-    version = cluster.operator.state().domains[domain].version
-    accept(context.deployment, SetDomain(name=domain, state="in"), version)
-    context.before = executed(cluster, context.names)
-    time.sleep(seconds + 2.0)
-    load.stop()
+    with RequestLoad(balancers=cluster.request_addresses(), seed=10) as load:
+        load.start(RequestPlan(entry="orders", pause_s=0.01), 30)
+        time.sleep(2.0)
+        accept(context.deployment, SetDomain(name=domain, state="out"), 0)
+        time.sleep(1.0)
+        for name in context.names:
+            cluster.control_target(name, "cold", float(seconds))
+        version = cluster.operator.state().domains[domain].version
+        accept(context.deployment, SetDomain(name=domain, state="in"), version)
+        context.before = executed(cluster, context.names)
+        time.sleep(seconds + 2.0)
 
 
 def executed(cluster, names):
--- a/lentilcourse/lab/bench/faults.py
+++ b/lentilcourse/lab/bench/faults.py
@@ -106,14 +106,15 @@
 
 def measure_leaving(run: FlowRun) -> Figure:
     """Measure how long a target that drains gets new flows, while they open steadily."""
-    name = run.names()[0]
-    run.cluster.control_target(name, "drain")
-    began = time.monotonic()
+    name = run.names("luzon-a")[0]
 
     def opened() -> int:
         run.fabric.open_flow(BOARD, time.monotonic())
         return run.owned_by(name)
 
+    wait_until(lambda: opened() > 0, TIMEOUT_S, f"new flows at {name}", WATCH_POLL_S)
+    run.cluster.control_target(name, "drain")
+    began = time.monotonic()
     spent = last_growth_s(opened, began)
     return Figure(
         name="target drains to its last new flow",
@@ -125,7 +126,7 @@
 
 def measure_home_loss(run: FlowRun) -> list[Figure]:
     """Measure the longest wait of flows whose home is killed while their owners live."""
-    name = run.names()[1]
+    name = run.names("luzon-c")[0]
     for flow in list(run.fabric.flows.values()):
         flow.longest_wait_s = 0.0
     broken = run.fabric.counts.broken
--- a/lentilcourse/lab/request_load.py
+++ b/lentilcourse/lab/request_load.py
@@ -70,7 +70,7 @@
 
 
 class RequestLoad:
-    """Callers that send requests through random balancers.
+    """Callers that send requests through random balancers, until the end of a `with` block.
 
     Attributes:
         balancers: request addresses; may be changed while the load runs.
@@ -85,6 +85,12 @@
         self._pool = ThreadPoolExecutor(max_workers=256, thread_name_prefix="caller")
         self._futures: list[Future[None]] = []
 
+    def __enter__(self) -> RequestLoad:
+        return self
+
+    def __exit__(self, *cause: object) -> None:
+        self.stop()
+
     def start(self, plan: RequestPlan, callers: int) -> None:
         """Start callers that follow a plan until the load stops."""
         for _ in range(callers):
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -100,6 +100,7 @@
         self._last_received = time.monotonic()
         self._receive_lock = threading.Lock()
         self._unread: deque[object] = deque()
+        self._timeout_set = False
         self._closed = False
         self._limit_messages(HANDSHAKE_MAX_BYTES)
 
@@ -137,7 +138,8 @@
         return self.receive()
 
     def set_timeout(self, seconds: float) -> None:
-        """Set the longest silence that `receive` and `send` accept."""
+        """Set how long one `receive` or `send` may wait, in place of the heartbeat deadline."""
+        self._timeout_set = True
         self._sock.settimeout(seconds)
 
     def close_if_silent(self, now: float) -> None:
@@ -151,7 +153,8 @@
             while not self._unread and is_readable(self._sock, 0.0):
                 self._feed()
                 self._keep_unread()
-            if not self._unread and now - self._last_received > HEARTBEAT_DEADLINE_S:
+            silent = now - self._last_received > HEARTBEAT_DEADLINE_S
+            if silent and not is_readable(self._sock, 0.0):
                 self.close()
         except LentilcourseError:
             self.close()
@@ -227,8 +230,20 @@
             self.close()
             raise
 
+    def _bound_silence(self, now: float) -> None:
+        """Wait for data no longer than the heartbeat deadline after the last sign of life.
+
+        The socket's timeout counts from the call, which is late if the reader was away.
+        """
+        silence_s = now - self._last_received
+        if self._timeout_set or silence_s < HEARTBEAT_INTERVAL_S:
+            return
+        if not is_readable(self._sock, max(0.0, HEARTBEAT_DEADLINE_S - silence_s)):
+            raise TimeoutError
+
     def _feed(self) -> None:
         try:
+            self._bound_silence(time.monotonic())
             data = self._sock.recv(RECEIVE_BYTES)
         except TimeoutError as exc:
             self.close()
