Say "no-state" from a balancer that has none; tabulate "unknown" under each fault

In its first tenth of a second the balancer has no state and answered 404 unknown-entry for entries that exist: a wrong reason, and one after which callers give up.

Ruled out: false "ran: no".

Change: a balancer without a state refuses with 503 no-state. The fault scenarios now check that no caller hears unknown-entry, and one more kills and restarts a balancer.

Property: fails before, passes after.

--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -6,7 +6,7 @@
 
 PROPERTIES = {}
 
-MODULES = ("packets", "catalogue", "flows", "requests", "consensus", "streams")
+MODULES = ("packets", "catalogue", "flows", "admission", "requests", "consensus", "streams")
 
 
 def prop(name):
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -17,6 +17,7 @@
 from lentilcourse.balancer.request_path import (
     RequestRefusedError,
     final_refusal,
+    find_entry,
     may_repeat,
     read_work,
 )
@@ -92,7 +93,7 @@
         body=b"",
     )
     try:
-        read_work(req, State(), 0.0)
+        read_work(req, State(version=1), 0.0)
     except RequestRefusedError as exc:
         assert exc.refusal.ran == "no"
         assert http_status(exc.refusal) in (400, 404)
@@ -108,6 +109,21 @@
     assert 400 <= http_status(system_refusal(cause, ran, "orders")) < 600
 
 
+@prop("requests.no_state_is_not_unknown")
+@given(st.sampled_from((b"orders", b"10.77.0.1:80", b"")), st.integers(0, 3))
+def check_no_state(host, version):
+    """A balancer without a state says so, and never that an entry does not exist."""
+    headers = (Header(name=b"host", value=host),)
+    req = HttpRequest(method=b"GET", target=b"/", headers=headers, body=b"")
+    try:
+        find_entry(req, State(version=version))
+    except RequestRefusedError as exc:
+        refusal = exc.refusal
+    cause = Cause.NO_STATE if version == 0 else Cause.UNKNOWN_ENTRY
+    assert refusal.cause == cause.value and refusal.ran == "no"
+    assert http_status(refusal) == (503 if version == 0 else 404)
+
+
 @prop("requests.slots_never_exceeded")
 @settings(max_examples=15)
 @given(
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -10,6 +10,7 @@
       | requests.budget_bounds_retries     |
       | requests.foreign_headers           |
       | requests.every_cause_has_a_status  |
+      | requests.no_state_is_not_unknown   |
       | requests.slots_never_exceeded      |
       | requests.class_ranks_the_queue     |
       | requests.higher_class_displaces    |
@@ -34,6 +35,7 @@
       | a target is killed and restarted        |
       | a domain goes out and comes back        |
       | agents are killed one after the other   |
+      | a balancer is killed and restarted      |
 
   Scenario Outline: A planned stop cuts no request: "<stop>"
     Given a small deployment with flows and requests
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -35,6 +35,13 @@
     deployment.cluster.kill("balancer-1")
 
 
+def restart_balancer(deployment):
+    """Kill a balancer and start it again; callers meet it before it has a state."""
+    deployment.cluster.kill("balancer-1")
+    time.sleep(1.0)
+    deployment.cluster.start_daemon("balancer-1")
+
+
 def kill_agent(deployment, name="ordering-2"):
     """Kill an agent and start it again."""
     deployment.cluster.kill(name)
@@ -108,6 +115,7 @@
 
 FAULTS = {
     "a balancer is killed": kill_balancer,
+    "a balancer is killed and restarted": restart_balancer,
     "an agent is killed and restarted": kill_agent,
     "an agent and its target are killed": kill_vm,
     "an agent is frozen and resumed": freeze("ordering-2"),
@@ -145,6 +153,8 @@
     executions = deployment.cluster.executions()
     check = check_executions(deployment.results, executions)
     assert len(deployment.results) > 100, len(deployment.results)
+    reasons = {each.reason for each in deployment.results}
+    assert not any("unknown-entry" in reason for reason in reasons), reasons
     assert check.doubled == check.false_no == check.crossed == 0, check
 
 
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -391,8 +391,13 @@
 
 
 def find_entry(req: HttpRequest, state: State) -> Entry:
-    """Return the HTTP entry that a request's Host field names, by name or by address."""
+    """Return the HTTP entry that a request's Host field names, by name or by address.
+
+    A balancer that has no state yet cannot say that there is no such entry.
+    """
     host = (req.header(b"host") or b"").decode("ascii", "replace")
+    if state.version == 0:
+        raise RequestRefusedError(system_refusal(Cause.NO_STATE, RAN_NO, host[:64]))
     named = state.entries.get(host.partition(":")[0])
     if named is not None and named.protocol is Protocol.HTTP:
         return named
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -28,6 +28,7 @@
 
     BAD_REQUEST = "bad-request"
     UNKNOWN_ENTRY = "unknown-entry"
+    NO_STATE = "no-state"
     NO_TARGET = "no-target"
     TARGET_FULL = "target-full"
     TARGET_COLD = "target-cold"
