Give a process without a state the newest one; do not trust peers that are ahead

Cause: a trace of "Flows live on through 300 table changes" (each offer of a flow, with version, confirmations and candidates) shows the agent that restarted at version 43, 72 or 76 while its peers had confirmed 142, 300 and 136. A new subscriber got all deltas since version 1 and put each of them in force. At such a version of the past it was home of buckets that it is not home of now, found its peers' confirmations higher than the version asked for, and took their flows.

Ruled out: stalled peers and the 0.4 s of probing (the trace shows no probe and nobody waited for); limits of hops (0); lost records (the flows were registered with the later home).

Change: a subscriber at version 0 gets the whole newest state. A home counts a peer as confirmed only at versions from the one that made it home up to its own; a peer that is ahead is probed. The walk with restarts lets an agent start on an old state.

Walks owner_stays and restarted_owner_keeps_flows pass.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -9,6 +9,7 @@
       | flows.unknown_home_learns_owner   |
       | flows.restarted_owner_keeps_flows |
       | flows.new_home_asks_recorders     |
+      | flows.restarted_home_knows_it_is_behind |
       | flows.early_word_is_not_believed  |
       | flows.admission_is_safe           |
       | flows.cold_limit_grows            |
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -360,9 +360,9 @@
             if other != name:
                 self.planes[other].on_peer_lost(name)
 
-    @rule(rejoins=st.booleans())
-    def start_agent(self, rejoins):
-        """Start the agent that is down; its target has run on."""
+    @rule(rejoins=st.booleans(), age=st.integers(0, 6))
+    def start_agent(self, rejoins, age=0):
+        """Start the agent that is down, on an old state; its target has run on."""
         name = self.down
         if name is None:
             return
@@ -370,8 +370,8 @@
         if rejoins:
             self.change_membership(name, "join")
         self.planes[name] = self.plane(name)
-        self.applied[name] = len(self.states) - 1
-        self.planes[name].on_state(self.newest, self.now)
+        self.applied[name] = max(0, len(self.states) - 1 - age)
+        self.planes[name].on_state(self.states[self.applied[name]], self.now)
         for other in NAMES:
             if other != name:
                 self.open_stream(name, other)
@@ -451,3 +451,23 @@
         world.run_datagrams()
         world.owner_stays()
     world.teardown()
+
+
+@prop("flows.restarted_home_knows_it_is_behind")
+def check_behind():
+    """A home that restarts on an old state takes no flow that its peers register elsewhere."""
+    world = RestartWorld()
+    for _ in range(12):
+        world.open_flow(0)
+    world.stop_agent("t2")
+    world.apply_all("t1")
+    world.apply_all("t3")
+    world.run_all_streams()
+    world.start_agent(False, age=1)
+    world.run_all_streams()
+    world.owner_stays()
+    for key in list(world.owners):
+        world.send(key, 1)
+        world.run_datagrams()
+        world.owner_stays()
+    world.teardown()
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -87,13 +87,16 @@
         self._complete.pop(peer, None)
 
     def unconfirmed(self, view: FlowView, bucket: int, now: float) -> list[str]:
-        """Return the peers that may own flows of a bucket that this home does not know."""
+        """Return the peers that may own flows of a bucket that this home does not know.
+
+        A peer that is ahead of this view may have registered its flows with a later home.
+        """
         since = self._home_since[bucket]
         return [
             name
             for name in view.peers
             if name not in view.out
-            and self._complete.get(name, -1) < since
+            and not since <= self._complete.get(name, -1) <= view.version
             and not self.presumed_dead(name, now)
         ]
 
--- a/lentilcourse/feed.py
+++ b/lentilcourse/feed.py
@@ -52,10 +52,11 @@
 
 
 def _send_versions(stream: Stream, source: StateSource, sent_version: int) -> int:
+    """Send what is new; a process without a state gets the newest, not the history."""
     state, deltas = source.read_after(sent_version)
     if state.version <= sent_version:
         return sent_version
-    if deltas is None:
+    if deltas is None or sent_version == 0:
         stream.send(FullState(state=state))
         return state.version
     for delta in deltas:
