--- a/features/properties/admission.py
+++ b/features/properties/admission.py
@@ -16,13 +16,10 @@
 )
 from lentilcourse.agent.rate_window import RateWindow
 from lentilcourse.agent.target import TargetHealth
-from lentilcourse.changes import (
-    DrainTarget,
-    SetDomain,
-)
-from lentilcourse.controller.shares import LIMIT_FIELDS, due_shares
+from lentilcourse.changes import DrainTarget, SetDomain
+from lentilcourse.controller.shares import due_shares
 from lentilcourse.messages import Announcement, EntryUsage
-from lentilcourse.model import Limits, State, share_name
+from lentilcourse.model import LIMIT_FIELDS, Limits, State, share_name
 from properties import prop
 from properties.members import ENTRY, NAMES, change_state, join
 
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -1,4 +1,4 @@
-"""Properties of flows: admission, limits, and owners under uneven versions of the state."""
+"""Properties of flows: owners under uneven versions of the state, and restarts."""
 
 from __future__ import annotations
 
@@ -10,16 +10,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
 from lentilcourse.agent.flow_plane import FlowPlane
-from lentilcourse.agent.pulse import (
-    TargetPulse,
-)
+from lentilcourse.agent.pulse import TargetPulse
 from lentilcourse.agent.target import TargetAnnouncement, TargetHealth
 from lentilcourse.balancer.packet_path import build_routes
 from lentilcourse.buckets import bucket_of
-from lentilcourse.changes import (
-    DrainTarget,
-    LoseTarget,
-)
+from lentilcourse.changes import DrainTarget, LoseTarget
 from lentilcourse.model import State
 from lentilcourse.options import Address
 from lentilcourse.packets import build_udp, flow_key, parse_host, read_refusal
@@ -410,17 +405,28 @@
     )
 
 
-@prop("flows.new_home_asks_recorders")
-def check_recorders():
-    """A home that appears while an owner is down learns the owner from those that recorded it."""
+def world_without_owner():
+    """Return a world in which "t2", an owner of flows, has just stopped as planned."""
     world = RestartWorld()
     for _ in range(12):
         world.open_flow(0)
     world.stop_agent("t2")
-    world.change_membership("t4", "join")
-    for name in ("t1", "t3", "t4"):
+    return world
+
+
+def learn_all(world, *names):
+    """Let agents learn all versions, and all messages pass."""
+    for name in names:
         world.apply_all(name)
     world.run_all_streams()
+
+
+@prop("flows.new_home_asks_recorders")
+def check_recorders():
+    """A home that appears while an owner is down learns the owner from those that recorded it."""
+    world = world_without_owner()
+    world.change_membership("t4", "join")
+    learn_all(world, "t1", "t3", "t4")
     for _ in range(8):
         for key in list(world.owners):
             world.send(key, 0)
@@ -434,14 +440,9 @@
 @prop("flows.early_word_is_not_believed")
 def check_early_word():
     """A home does not take an owner's word before that owner has its flows back."""
-    world = RestartWorld()
-    for _ in range(12):
-        world.open_flow(0)
-    world.stop_agent("t2")
+    world = world_without_owner()
     world.change_membership("t4", "join")
-    for name in ("t1", "t3", "t4"):
-        world.apply_all(name)
-    world.run_all_streams()
+    learn_all(world, "t1", "t3", "t4")
     world.start_agent(False)
     for source in ("t1", "t2", "t3"):
         for msg in world.streams.pop((source, "t4"), []):
@@ -456,13 +457,8 @@
 @prop("flows.restarted_home_knows_it_is_behind")
 def check_behind():
     """A home that restarts on an old state takes no flow that its peers register elsewhere."""
-    world = RestartWorld()
-    for _ in range(12):
-        world.open_flow(0)
-    world.stop_agent("t2")
-    world.apply_all("t1")
-    world.apply_all("t3")
-    world.run_all_streams()
+    world = world_without_owner()
+    learn_all(world, "t1", "t3")
     world.start_agent(False, age=1)
     world.run_all_streams()
     world.owner_stays()
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -4,12 +4,12 @@
 
 import random
 import time
-from http.client import HTTPConnection
 
 from behave import given, then, when
 from deployments import SMALL, Deployment
 
 from lentilcourse.changes import PutEntry
+from lentilcourse.lab.cluster import read_metrics
 from lentilcourse.lab.request_load import RequestPlan, send_request
 from lentilcourse.lab.shapes import ADMIN_PORT, Layout
 from lentilcourse.messages import AuditRequest
@@ -17,14 +17,9 @@
 from lentilcourse.options import load_settings
 
 
-def deploy(context, layout_changes=None, cold_s=0.0, shape=SMALL, skip=()):
+def deploy(context, cold_s=0.0, shape=SMALL, skip=()):
     """Start a small deployment."""
-    layout = Layout(
-        shape=shape,
-        prefix=context.prefix,
-        folder=str(context.folder / "data"),
-        **(layout_changes or {}),
-    )
+    layout = Layout(shape=shape, prefix=context.prefix, folder=str(context.folder / "data"))
     context.deployment = Deployment(layout=layout, folder=context.folder, cold_s=cold_s)
     context.closers.append(context.deployment.stop)
     context.deployment.start(skip)
@@ -144,11 +139,7 @@
     assert address is not None and address.port == ADMIN_PORT
     deadline = time.monotonic() + 10.0
     while time.monotonic() < deadline:
-        conn = HTTPConnection(address.host, address.port, timeout=5.0)
-        conn.request("GET", "/metrics")
-        text = conn.getresponse().read().decode()
-        conn.close()
-        if any(line.startswith(metric) for line in text.splitlines()):
+        if read_metrics(address.host, metric):
             return
         time.sleep(0.1)
     raise AssertionError(f"{metric} is not served")
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 from http.client import HTTPConnection
 
 import attrs
@@ -16,7 +17,8 @@
 from deployments import BOARD, SMALL
 
 from lentilcourse.changes import DeleteEntry, DrainTarget, PutEntry, SetDomain
-from lentilcourse.lab.cluster import wait_until
+from lentilcourse.commands.declared import as_put
+from lentilcourse.lab.cluster import read_metrics, wait_until
 from lentilcourse.lab.shapes import ADMIN_PORT, ServiceShape
 from lentilcourse.operator_client import is_accepted
 
@@ -44,11 +46,7 @@
 
 def owner_counts(deployment):
     """Return the open flows by owner."""
-    counts = {}
-    for flow in list(deployment.fabric.flows.values()):
-        name = flow.owner.split(b"|")[1].decode()
-        counts[name] = counts.get(name, 0) + 1
-    return counts
+    return Counter(flow.owner_name for flow in list(deployment.fabric.flows.values()))
 
 
 def drain(deployment):
@@ -193,7 +191,6 @@
             deployment.cluster.terminate("ordering-2")
             deployment.cluster.start_daemon("ordering-2")
         passed = deployment.cluster.operator.state().version - first
-    context.table_changes = passed
     assert passed >= count, passed
     deployment.run_flows(2.0)
 
@@ -260,11 +257,7 @@
 
 def read_metric(host, metric):
     """Return the value of one metric of a process."""
-    conn = HTTPConnection(host, ADMIN_PORT, timeout=5.0)
-    conn.request("GET", "/metrics")
-    lines = conn.getresponse().read().decode().splitlines()
-    conn.close()
-    values = [float(line.split()[-1]) for line in lines if line.startswith(metric)]
+    values = read_metrics(host, metric)
     return values[0] if values else 0.0
 
 
@@ -291,13 +284,9 @@
     assert not set(owner_counts(deployment)) & set(context.names)
 
 
-@when('the entry of the flows is deleted and its address given to "{service}"')
-def reuse_address(context, service):
-    """Delete the entry and create another with the same address."""
-    deployment = context.deployment
-    version = deployment.cluster.operator.state().entries["price-board"].version
-    accept(deployment, DeleteEntry(name="price-board"), version)
-    action = PutEntry(
+def board_of(service):
+    """Return the action that gives the board's address to another service."""
+    return PutEntry(
         name="price-board",
         service=service,
         owner="millers-desk",
@@ -305,7 +294,15 @@
         protocol="udp",
         address=BOARD,
     )
-    accept(deployment, action, 0)
+
+
+@when('the entry of the flows is deleted and its address given to "{service}"')
+def reuse_address(context, service):
+    """Delete the entry and create another with the same address."""
+    deployment = context.deployment
+    version = deployment.cluster.operator.state().entries["price-board"].version
+    accept(deployment, DeleteEntry(name="price-board"), version)
+    accept(deployment, board_of(service), 0)
     deployment.run_flows(0.5)
 
 
@@ -326,15 +323,7 @@
     deployment.cluster.signal(balancer, signal.SIGSTOP)
     version = client.state().entries["price-board"].version
     assert is_accepted(client.change(DeleteEntry(name="price-board"), version))
-    action = PutEntry(
-        name="price-board",
-        service=service,
-        owner="millers-desk",
-        traffic_class="bulk",
-        protocol="udp",
-        address=BOARD,
-    )
-    outcome = client.change(action, 0)
+    outcome = client.change(board_of(service), 0)
     assert is_accepted(outcome)
     assert client.wait_in_force(outcome.version, 5.0) == [balancer]
     context.messages = service_messages(deployment, "ordering")
@@ -362,20 +351,16 @@
     assert any(flow.owner.startswith(b"inspection|") for flow in fresh)
 
 
+def change_limits(deployment, name, **limits):
+    """Edit the limits of an entry."""
+    entry = deployment.cluster.operator.state().entries[name]
+    accept(deployment, attrs.evolve(as_put(entry), **limits), entry.version)
+
+
 def limit_board(context, **limits):
     """Edit the limits of the price board and wait until the shares are divided."""
     deployment = context.deployment
-    entry = deployment.cluster.operator.state().entries["price-board"]
-    action = PutEntry(
-        name=entry.name,
-        service=entry.service,
-        owner=entry.owner,
-        traffic_class=entry.traffic_class.value,
-        protocol=entry.protocol.value,
-        address=str(entry.address),
-        **limits,
-    )
-    accept(deployment, action, entry.version)
+    change_limits(deployment, "price-board", **limits)
 
     def divided():
         state = deployment.cluster.operator.state()
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -14,9 +14,9 @@
 
 from behave import given, then, when
 from cluster_steps import deploy
-from flow_steps import SETTLE_S, accept, read_metric
+from flow_steps import SETTLE_S, accept, change_limits, read_metric
 
-from lentilcourse.changes import DrainTarget, PutEntry, SetDomain
+from lentilcourse.changes import DrainTarget, SetDomain
 from lentilcourse.lab.cluster import wait_until
 from lentilcourse.lab.request_load import (
     RequestLoad,
@@ -404,7 +404,6 @@
         time.sleep(seconds + 2.0)
         context.executed = sum(cluster.target_stats(name)["executions"].values())
         time.sleep(6.0)
-    context.name = name
 
 
 @when(
@@ -456,17 +455,7 @@
 def limit_requests(context, name, limit):
     """Set the limit and wait until the shares are divided."""
     client = context.deployment.cluster.operator
-    entry = client.state().entries[name]
-    action = PutEntry(
-        name=name,
-        service=entry.service,
-        owner=entry.owner,
-        traffic_class=entry.traffic_class.value,
-        protocol=entry.protocol.value,
-        address=str(entry.address),
-        requests_in_flight=limit,
-    )
-    accept(context.deployment, action, entry.version)
+    change_limits(context.deployment, name, requests_in_flight=limit)
 
     def divided():
         shares = client.state().shares.values()
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -161,8 +161,7 @@
             for flow in self._flows
             if view.recorder(bucket_of(flow.key)) == peer.target.name
         ]
-        for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE):
-            part = tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
+        for part in _in_messages(records):
             peer.send_first(RegisterFlows(owner=self._name, version=view.version, flows=part))
         for recorded in self._recorded_for(peer.target.name):
             peer.send_first(recorded)
@@ -174,13 +173,9 @@
         target = self.view.peers.get(owner)
         if target is None:
             return []
-        flows = self.directory.flows_of(owner)
         return [
-            RecoveredFlows(
-                incarnation=target.incarnation,
-                flows=tuple(flows[start : start + MAX_RECORDS_PER_MESSAGE]),
-            )
-            for start in range(0, len(flows), MAX_RECORDS_PER_MESSAGE)
+            RecoveredFlows(incarnation=target.incarnation, flows=part)
+            for part in _in_messages(self.directory.flows_of(owner))
         ]
 
     def on_peer_lost(self, name: str) -> None:
@@ -198,15 +193,7 @@
             if self._flows.get(record.key) is not None:
                 self.counts.owner_conflicts += 1
                 continue
-            self.directory.put(
-                record.key,
-                DirectoryEntry(
-                    owner=peer,
-                    entry_id=record.entry_id,
-                    local_port=record.local_port,
-                    version=msg.version,
-                ),
-            )
+            self._put(record, peer, msg.version)
 
     @on_message.register
     def _on_forget(self, msg: ForgetFlows, peer: str, now: float) -> None:
@@ -232,13 +219,17 @@
             if owned or (known is not None and known.registered):
                 continue
             self.completeness.end_probe(record.key)
-            entry = DirectoryEntry(
-                owner=msg.owner,
-                entry_id=record.entry_id,
-                local_port=record.local_port,
-                version=msg.version,
-            )
-            self.directory.put(record.key, entry)
+            self._put(record, msg.owner, msg.version)
+
+    def _put(self, record: FlowRecord, owner: str, version: int) -> None:
+        """Record an owner as it registered a flow at a state version."""
+        entry = DirectoryEntry(
+            owner=owner,
+            entry_id=record.entry_id,
+            local_port=record.local_port,
+            version=version,
+        )
+        self.directory.put(record.key, entry)
 
     @on_message.register
     def _on_load(self, msg: FlowLoad, peer: str, now: float) -> None:
@@ -279,3 +270,11 @@
         """Queue a message for one peer; nothing happens for None."""
         if name is not None and self.peers is not None:
             self.peers.send(name, msg)
+
+
+def _in_messages(records: list[FlowRecord]) -> list[tuple[FlowRecord, ...]]:
+    """Return records in parts that one message carries."""
+    return [
+        tuple(records[start : start + MAX_RECORDS_PER_MESSAGE])
+        for start in range(0, len(records), MAX_RECORDS_PER_MESSAGE)
+    ]
--- a/lentilcourse/agent/flow_view.py
+++ b/lentilcourse/agent/flow_view.py
@@ -26,7 +26,7 @@
         peers: all other targets of the own service by name.
         out: names of targets of the own service in failure domains that are out.
         by_address: target names by the agent's UDP address.
-        shares: the own share of limited entries by entry id.
+        shares: what this agent may use of the limits of each entry, by entry id.
     """
 
     version: int
@@ -87,19 +87,10 @@
         peers={each.name: each for each in members if each.name != name},
         out=frozenset(each.name for each in members if state.domain_out(each.domain)),
         by_address={each.data_address.pair(): each.name for each in members},
-        shares=own_shares(state, own),
+        shares={key: state.granted_share(entry, own) for key, entry in entries.items()},
     )
 
 
-def own_shares(state: State, own: Target) -> dict[int, Limits]:
-    """Return the granted share of a target in each limited entry of its service."""
-    return {
-        share.entry_id: share.granted
-        for share in state.shares.values()
-        if share.target_id == own.target_id
-    }
-
-
 def empty_view(name: str, version: int) -> FlowView:
     """Return the view of an agent whose target has not joined."""
     return FlowView(
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -24,6 +24,7 @@
     NotDeliveredError,
     TargetExchange,
 )
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import PoolFullError, StreamError, TargetFailedError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages import (
@@ -37,7 +38,7 @@
     RequestCredit,
     RequestStart,
 )
-from lentilcourse.model import CLASS_RANK, Entry, State, TargetState, share_name
+from lentilcourse.model import CLASS_RANK, Entry, State, TargetState
 from lentilcourse.refusals import (
     RAN_NO,
     RAN_UNKNOWN,
@@ -55,7 +56,6 @@
 STORED_WAIT_S: Final = 30.0
 OUTCOME_POLL_S: Final = 0.1
 DRAIN_TIMEOUT_S: Final = 30.0
-MS_PER_S: Final = 1000.0
 
 
 @attrs.define(kw_only=True)
@@ -151,11 +151,11 @@
         while self._pool.running and time.monotonic() < deadline:
             time.sleep(0.02)
 
-    def on_tick(self, now: float) -> None:
-        """Follow the target's cold start and warm-up."""
-        self._follow_target(now)
+    def follow_target(self, now: float) -> None:
+        """Set the limit of slots by the target's cold start and warm-up.
 
-    def _follow_target(self, now: float) -> None:
+        While its failure domain is out, a target stays at the cold limit.
+        """
         last = self._monitor.last
         if last is None:
             return
@@ -173,13 +173,6 @@
         if last is not None:
             self.slots.set_limit(cold_limit(last.slots, self._pulse.cold_since, now))
 
-    def on_state(self, old: State, new: State, now: float) -> None:
-        """Start cold again when the failure domain comes back."""
-        own = new.targets.get(self._name)
-        if own and old.domain_out(own.domain) and not new.domain_out(own.domain):
-            self._pulse.start_cold(now)
-            self._set_limit(now)
-
     def _take(self, msg: object, stream: Stream, jobs: dict[str, Job]) -> None:
         if isinstance(msg, RequestStart):
             self._start(msg, stream, jobs)
@@ -282,7 +275,7 @@
         return True
 
     def _run_admitted(self, job: Job) -> Refusal | None:
-        self._follow_target(time.monotonic())
+        self.follow_target(time.monotonic())
         refusal = self._admit(job)
         if refusal is not None:
             return refusal
@@ -327,10 +320,7 @@
     def _share_of(self, entry: Entry) -> int:
         state = self._copy.current
         own = state.targets.get(self._name)
-        share = state.shares.get(share_name(entry.name, self._name))
-        if own is None or share is None or share.target_id != own.target_id:
-            return 0
-        return share.granted.requests_in_flight
+        return state.granted_share(entry, own).requests_in_flight if own is not None else 0
 
     def running_of(self, entry_id: int) -> int:
         """Return the requests of an entry that run or wait here."""
--- a/lentilcourse/agent/target_client.py
+++ b/lentilcourse/agent/target_client.py
@@ -15,6 +15,7 @@
 import attrs
 import h11
 
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import TargetFailedError
 from lentilcourse.messages import Header, RequestStart
 from lentilcourse.options import Address
@@ -22,7 +23,6 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 ANSWER_TIMEOUT_S: Final = 60.0
 CHUNK_BYTES: Final = 64 * 1024
-MS_PER_S: Final = 1000.0
 HEADER_TIMEOUT: Final = b"request-timeout-ms"
 HEADER_RAN: Final = b"refusal-ran"
 STATUS_SHED: Final = 503
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -19,6 +19,7 @@
 from lentilcourse.balancer.policies import Policy
 from lentilcourse.balancer.retry_budget import RetryBudget
 from lentilcourse.buckets import bucket_of, build_table, takes_new_work
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import LentilcourseError, PoolFullError, StreamError
 from lentilcourse.http_server import HttpRequest, HttpRequestError, HttpServerConnection
 from lentilcourse.ids import new_id
@@ -55,7 +56,6 @@
 RETRY_PAUSE_S: Final = 0.02
 MAX_KEY_BYTES: Final = 128
 MAX_TIMEOUT_MS: Final = 24 * 3600 * 1000
-MS_PER_S: Final = 1000.0
 REPEATABLE_METHODS: Final = frozenset({b"GET", b"HEAD", b"PUT", b"DELETE", b"OPTIONS"})
 HOP_BY_HOP: Final = frozenset(
     {
--- a/lentilcourse/clocks.py
+++ b/lentilcourse/clocks.py
@@ -1,4 +1,4 @@
-"""Wall-clock time, for records that people read and keys that carry a time."""
+"""Units of time, and wall-clock time for records that people read and keys that carry a time."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 from typing import Final
 
 NS_PER_MS: Final = 1_000_000
+MS_PER_S: Final = 1000.0
 
 
 def wall_clock_ms() -> int:
--- a/lentilcourse/codec.py
+++ b/lentilcourse/codec.py
@@ -69,3 +69,17 @@
 def new_unpacker(max_bytes: int) -> Any:
     """Return an incremental unpacker that refuses a message above `max_bytes`."""
     return msgpack.Unpacker(raw=False, max_buffer_size=max_bytes)
+
+
+def read_message(unpacker: Any) -> object | None:
+    """Return the next message that was fed whole, None if there is none yet.
+
+    Raises `ProtocolError` for bytes that are no message.
+    """
+    try:
+        packed = unpacker.unpack()
+    except msgpack.OutOfData:
+        return None
+    except Exception as exc:
+        raise ProtocolError(error_texts.MESSAGE_INVALID.format(cause=exc)) from exc
+    return decode_message(packed)
--- a/lentilcourse/commands/declared.py
+++ b/lentilcourse/commands/declared.py
@@ -24,12 +24,11 @@
     open_client,
 )
 from lentilcourse.errors import SettingsError
-from lentilcourse.model import Entry, State
+from lentilcourse.model import LIMIT_FIELDS, Entry, State
 from lentilcourse.operator_client import OperatorClient
 
 SECTION_PREFIX: Final = "entry "
 REQUIRED: Final = ("service", "owner", "traffic_class", "protocol", "address")
-LIMITS: Final = ("open_flows", "new_flows_per_s", "requests_in_flight")
 
 
 @attrs.frozen(kw_only=True)
@@ -144,17 +143,17 @@
         if key not in values:
             raise SettingsError(f"{file}: [{section}] {key} is missing")
     for key, value in values.items():
-        if key not in (*REQUIRED, *LIMITS):
+        if key not in (*REQUIRED, *LIMIT_FIELDS):
             raise SettingsError(f"{file}: [{section}] {key} is unknown")
-        if key in LIMITS and not value.isdecimal():
+        if key in LIMIT_FIELDS and not value.isdecimal():
             raise SettingsError(f"{file}: [{section}] {key} = {value!r}: must be a number")
-    limits = {key: int(values.get(key, "0")) for key in LIMITS}
+    limits = {key: int(values.get(key, "0")) for key in LIMIT_FIELDS}
     return PutEntry(name=name, **{key: values[key] for key in REQUIRED}, **limits)  # type: ignore[arg-type]
 
 
 def _fields(action: PutEntry) -> list[str]:
     values = attrs.asdict(action)
-    return [f"{key}: {values[key]}" for key in (*REQUIRED, *LIMITS)]
+    return [f"{key}: {values[key]}" for key in (*REQUIRED, *LIMIT_FIELDS)]
 
 
 def _confirm() -> None:
--- a/lentilcourse/controller/shares.py
+++ b/lentilcourse/controller/shares.py
@@ -7,32 +7,35 @@
 
 from __future__ import annotations
 
-from typing import Final
+from collections import defaultdict
 
 import attrs
 
 from lentilcourse.buckets import takes_new_work
 from lentilcourse.changes import SetShares
 from lentilcourse.messages import Announcement
-from lentilcourse.model import Entry, Limits, LimitShare, State, Target, share_name
-
-LIMIT_FIELDS: Final = tuple(field.name for field in attrs.fields(Limits))
+from lentilcourse.model import LIMIT_FIELDS, Entry, Limits, LimitShare, State, Target, share_name
 
 
 def due_shares(state: State, announcements: dict[str, Announcement]) -> list[SetShares]:
     """Return the changes of shares that membership, limits and confirmations call for."""
+    held: defaultdict[int, dict[str, LimitShare]] = defaultdict(dict)
+    for share in state.shares.values():
+        held[share.entry_id][share.name] = share
     actions: list[SetShares] = []
     for entry in state.entries.values():
-        action = _entry_shares(entry, state, announcements)
+        action = _entry_shares(entry, held[entry.entry_id], state, announcements)
         if action is not None:
             actions.append(action)
     return actions
 
 
 def _entry_shares(
-    entry: Entry, state: State, announcements: dict[str, Announcement]
+    entry: Entry,
+    held: dict[str, LimitShare],
+    state: State,
+    announcements: dict[str, Announcement],
 ) -> SetShares | None:
-    held = {name: each for name, each in state.shares.items() if each.entry_id == entry.entry_id}
     if entry.limits == Limits():
         return SetShares(name=entry.name, shares=(), removed=tuple(held)) if held else None
     targets = state.service_targets(entry.service)
--- a/lentilcourse/lab/request_load.py
+++ b/lentilcourse/lab/request_load.py
@@ -47,6 +47,11 @@
     status: int = 0
     target: str = ""
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether the caller got no answer, or not the whole of it."""
+        return self.outcome in ("lost", "cut")
+
 
 @attrs.frozen(kw_only=True)
 class RequestPlan:
--- a/lentilcourse/sockets.py
+++ b/lentilcourse/sockets.py
@@ -4,9 +4,8 @@
 
 import select
 import socket
-from typing import Final
 
-MS_PER_S: Final = 1000.0
+from lentilcourse.clocks import MS_PER_S
 
 
 def is_readable(sock: socket.socket, timeout_s: float) -> bool:
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -18,12 +18,12 @@
 import weakref
 from collections import deque
 from collections.abc import Callable, Mapping
-from typing import Final, cast
+from typing import Final
 
 import attrs
 
 from lentilcourse import error_texts
-from lentilcourse.codec import MAX_MESSAGE_BYTES, decode_message, encode_message, new_unpacker
+from lentilcourse.codec import MAX_MESSAGE_BYTES, encode_message, new_unpacker, read_message
 from lentilcourse.errors import (
     AuthenticationError,
     LentilcourseError,
@@ -201,31 +201,19 @@
         self._sock.settimeout(HEARTBEAT_DEADLINE_S)
 
     def _next_message(self) -> object:
-        while True:
-            packed = self._unpack()
-            if packed is not None:
-                return self._decode(packed)
+        while (msg := self._read_message()) is None:
             self._feed()
+        return msg
 
     def _keep_unread(self) -> None:
-        while (packed := self._unpack()) is not None:
-            msg = self._decode(packed)
+        while (msg := self._read_message()) is not None:
             if not isinstance(msg, Heartbeat):
                 self._unread.append(msg)
 
-    def _unpack(self) -> object | None:
-        """Return the next whole message as msgpack gives it, None if none has come."""
+    def _read_message(self) -> object | None:
+        """Return the next message that has come whole, None if there is none."""
         try:
-            return cast(object, self._unpacker.unpack())
-        except Exception as exc:
-            if type(exc).__name__ == "OutOfData":
-                return None
-            self.close()
-            raise ProtocolError(error_texts.MESSAGE_INVALID.format(cause=exc)) from exc
-
-    def _decode(self, packed: object) -> object:
-        try:
-            return decode_message(packed)
+            return read_message(self._unpacker)
         except ProtocolError:
             self.close()
             raise
