--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -45,6 +45,8 @@
         self._address = address
         self._lifecycle = lifecycle
         self._routes: dict[tuple[bytes, bytes], AdminRoute] = {}
+        self._prefix_routes: list[tuple[bytes, bytes, AdminRoute]] = []
+        self._ready_checks: list[Callable[[], bool]] = []
         self._pool = lifecycle.pool(name="admin", limit=MAX_CONNECTIONS)
         self.add_route("GET", "/healthz", self._health)
 
@@ -52,6 +54,14 @@
         """Serve `route` for a method and path."""
         self._routes[(method.encode(), path.encode())] = route
 
+    def add_prefix_route(self, method: str, prefix: str, route: AdminRoute) -> None:
+        """Serve `route` for a method and every path that begins with `prefix`."""
+        self._prefix_routes.append((method.encode(), prefix.encode(), route))
+
+    def add_ready_check(self, check: Callable[[], bool]) -> None:
+        """Answer that the process takes new work only while `check` holds."""
+        self._ready_checks.append(check)
+
     def add_metrics(self, metrics: Metrics) -> None:
         """Serve the metrics of the process."""
 
@@ -115,7 +125,7 @@
 
     def _answer(self, conn: HttpServerConnection, req: HttpRequest) -> None:
         path = req.target.partition(b"?")[0]
-        route = self._routes.get((req.method, path))
+        route = self._find_route(req.method, path)
         if route is None:
             _send(conn, AdminAnswer(status=404, body=b'{"error": "no such route"}'))
             return
@@ -124,9 +134,20 @@
         except LentilcourseError as exc:
             _send(conn, AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode()))
 
+    def _find_route(self, method: bytes, path: bytes) -> AdminRoute | None:
+        exact = self._routes.get((method, path))
+        if exact is not None:
+            return exact
+        for route_method, prefix, route in self._prefix_routes:
+            if route_method == method and path.startswith(prefix):
+                return route
+        return None
+
     def _health(self, req: HttpRequest) -> AdminAnswer:
         if self._lifecycle.stopping.is_set():
             return AdminAnswer(status=503, body=b'{"state": "stopping"}')
+        if not all(check() for check in self._ready_checks):
+            return AdminAnswer(status=503, body=b'{"state": "starting"}')
         return AdminAnswer(body=b'{"state": "serving"}')
 
 
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -41,7 +41,7 @@
 from lentilcourse.refusals import RefusalCounts
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, Stream, StreamListener
-from lentilcourse.subscription import StateCopy, Subscription
+from lentilcourse.subscription import StateCopy, Subscription, named_controllers
 
 HAND_OVER_TIMEOUT_S: Final = 3.0
 HAND_OVER_POLL_S: Final = 0.02
@@ -119,7 +119,7 @@
             serve=self._serve,
         )
         self.subscription = Subscription(
-            controllers=settings.controllers,
+            controllers=named_controllers(settings),
             identity=identity,
             copy=self.copy,
             lifecycle=lifecycle,
@@ -199,13 +199,13 @@
 
     def _on_state(self, state: State, now: float) -> None:
         self.flows.on_state(state, now)
-        self.requests.on_state(self._former, state, now)
+        self.requests.follow_target(now)
         self.keys.on_state(self._former, state)
         self._former = state
 
     def _run_ticks(self) -> None:
         while not self.lifecycle.stopped.wait(timeout=TICK_S / 2):
-            self.requests.on_tick(time.monotonic())
+            self.requests.follow_target(time.monotonic())
 
     def _stop_taking(self) -> None:
         """Take no new flows, and let the buckets move before the process ends."""
--- a/lentilcourse/balancer/role.py
+++ b/lentilcourse/balancer/role.py
@@ -13,7 +13,7 @@
 from lentilcourse.refusals import RefusalCounts
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.streams import KIND_PROCESS, Identity
-from lentilcourse.subscription import StateCopy, Subscription
+from lentilcourse.subscription import StateCopy, Subscription, named_controllers
 
 
 @ROLE_PLUGINS.register("balancer")
@@ -47,7 +47,7 @@
         )
 
     subscription = Subscription(
-        controllers=settings.controllers,
+        controllers=named_controllers(settings),
         identity=identity,
         copy=copy,
         lifecycle=lifecycle,
--- a/lentilcourse/changes.py
+++ b/lentilcourse/changes.py
@@ -14,6 +14,7 @@
 import attrs
 
 from lentilcourse import error_texts
+from lentilcourse.catalogue import Catalogue
 from lentilcourse.errors import ChangeRefusedError, InvalidChangeError, VersionConflictError
 from lentilcourse.model import (
     Domain,
@@ -128,8 +129,21 @@
     reason: str
 
 
+@attrs.frozen(kw_only=True)
+class PublishCatalogue:
+    """Replace the published catalogue by one with a higher number.
+
+    A catalogue whose number is not higher is accepted and changes nothing, so that a resend
+    is never refused.
+    """
+
+    name: str
+    catalogue: Catalogue
+
+
 Action: TypeAlias = (
     PutEntry
+    | PublishCatalogue
     | DeleteEntry
     | SetDomain
     | DrainTarget
@@ -211,25 +225,37 @@
             reason=exc.reason,
         )
         return outcome, None
-    accepted = Outcome(change_id=change.change_id, verdict=Verdict.ACCEPTED, version=delta.version)
+    version = delta.version if delta is not None else state.version
+    accepted = Outcome(change_id=change.change_id, verdict=Verdict.ACCEPTED, version=version)
     return accepted, delta
 
 
 def summarize(action: Action) -> str:
     """Return one line that says what an action changes."""
+    if isinstance(action, PublishCatalogue):
+        return f"PublishCatalogue number={action.catalogue.number}"
     fields = attrs.asdict(action)
     words = " ".join(f"{key}={value}" for key, value in fields.items() if value not in ("", 0))
     return f"{type(action).__name__} {words}"
 
 
+def change_size(change: Change) -> int:
+    """Return the bytes of the document that a change carries, 0 for one without."""
+    action = change.action
+    return len(action.catalogue.document) if isinstance(action, PublishCatalogue) else 0
+
+
 def subject(action: Action) -> str:
     """Return the name of the record that an action changes."""
     return action.name
 
 
 @singledispatch
-def build_delta(action: object, state: State, edit_version: int) -> StateDelta:
-    """Return the delta of an action; raises `ChangeRefusedError` and applies nothing."""
+def build_delta(action: object, state: State, edit_version: int) -> StateDelta | None:
+    """Return the delta of an action, None if it is accepted and changes nothing.
+
+    Raises `ChangeRefusedError` for an action that is refused.
+    """
     raise ChangeRefusedError(error_texts.MESSAGE_UNEXPECTED.format(name=type(action).__name__))
 
 
@@ -253,6 +279,15 @@
     return StateDelta(version=version, entries=(entry,))
 
 
+@build_delta.register
+def _publish_catalogue(
+    action: PublishCatalogue, state: State, edit_version: int
+) -> StateDelta | None:
+    if action.catalogue.number <= state.catalogue.number:
+        return None
+    return StateDelta(version=state.version + 1, catalogue=action.catalogue)
+
+
 @build_delta.register
 def _delete_entry(action: DeleteEntry, state: State, edit_version: int) -> StateDelta:
     current = state.entries.get(action.name)
@@ -272,7 +307,8 @@
     name = _checked_name("name", action.name)
     wanted = DomainState(_checked_choice("state", action.state, DomainState))
     current = state.domains.get(name)
-    known = any(target.domain == name for target in state.targets.values())
+    has_target = any(target.domain == name for target in state.targets.values())
+    known = has_target or state.catalogue.number > 0
     if current is None and not known:
         raise InvalidChangeError("name", error_texts.NOT_FOUND.format(name=name))
     _check_version(current.version if current else 0, edit_version)
--- a/lentilcourse/controller/files.py
+++ b/lentilcourse/controller/files.py
@@ -130,6 +130,11 @@
         self._offsets = list(scanned.offsets)
         self._end = scanned.end
 
+    @property
+    def size(self) -> int:
+        """Size of the file in bytes."""
+        return self._end
+
     def take_payloads(self) -> tuple[bytes, ...]:
         """Return the records read at opening, once."""
         payloads, self._payloads = self._payloads, ()
--- a/lentilcourse/controller/log_store.py
+++ b/lentilcourse/controller/log_store.py
@@ -26,6 +26,14 @@
 REPLICA_ID_BYTES: Final = 6
 
 
+NO_MEMBERS: Final = Membership(members=())
+
+
+def latest_membership(entries: list[LogEntry]) -> LogEntry | None:
+    """Return the last entry that holds a membership."""
+    return next((each for each in reversed(entries) if each.membership is not None), None)
+
+
 @attrs.frozen(kw_only=True)
 class ReplicaIdentity:
     """Identity of one data folder."""
@@ -71,6 +79,7 @@
         self._file = RecordFile(path=folder / "log")
         self.damaged = (folder / "damaged").exists()
         self._entries = self._load_entries()
+        self._membership_entry = latest_membership(self._entries)
 
     @property
     def last_index(self) -> int:
@@ -100,19 +109,20 @@
         start = index - self.snapshot.last_index - 1
         return tuple(self._entries[start : start + limit])
 
+    @property
+    def log_bytes(self) -> int:
+        """Size of the log file behind the snapshot."""
+        return self._file.size
+
     def membership(self) -> Membership:
         """Return the latest membership in the log, committed or not."""
-        for entry in reversed(self._entries):
-            if entry.membership is not None:
-                return entry.membership
-        return self.snapshot.membership
+        entry = self._membership_entry
+        return self.snapshot.membership if entry is None else (entry.membership or NO_MEMBERS)
 
     def membership_index(self) -> int:
         """Return the index of the latest membership entry."""
-        for entry in reversed(self._entries):
-            if entry.membership is not None:
-                return entry.index
-        return self.snapshot.last_index
+        entry = self._membership_entry
+        return self.snapshot.last_index if entry is None else entry.index
 
     def save_vote(self, vote: Vote) -> None:
         """Store term and vote durably before they are answered."""
@@ -125,12 +135,14 @@
             return
         self._file.append([pack_record(entry) for entry in entries])
         self._entries.extend(entries)
+        self._membership_entry = latest_membership(entries) or self._membership_entry
 
     def truncate_from(self, index: int) -> None:
         """Remove the entry at `index` and all after it."""
         position = index - self.snapshot.last_index - 1
         self._file.truncate_from(position)
         del self._entries[position:]
+        self._membership_entry = latest_membership(self._entries)
 
     def install(self, snapshot: Snapshot) -> None:
         """Replace the snapshot, keeping the entries that follow it if they agree."""
@@ -140,6 +152,7 @@
         self._file.replace_all([pack_record(entry) for entry in kept])
         self.snapshot = snapshot
         self._entries = list(kept)
+        self._membership_entry = latest_membership(self._entries)
 
     def clear_damage(self) -> None:
         """Remove the damage marker once a leader has given back all that is committed."""
--- a/lentilcourse/controller/machine.py
+++ b/lentilcourse/controller/machine.py
@@ -20,6 +20,8 @@
 MAX_OUTCOMES: Final = 20_000
 MAX_AUDIT_RECORDS: Final = 20_000
 MAX_DELTAS: Final = 1_000
+MAX_DELTA_BYTES: Final = 1024 * 1024
+"""Bytes of documents in the kept deltas: a subscriber further behind gets the whole state."""
 
 
 @attrs.frozen(kw_only=True)
@@ -32,6 +34,11 @@
     next_sequence: int
 
 
+def document_bytes(delta: StateDelta) -> int:
+    """Return the bytes of the document that a delta carries."""
+    return len(delta.catalogue.document) if delta.catalogue is not None else 0
+
+
 class CatalogueMachine:
     """Applies committed changes in log order.
 
@@ -55,11 +62,18 @@
         outcome, delta = decide_change(self.state, change)
         if delta is not None:
             self.state = apply_delta(self.state, delta)
-            self._deltas.append(delta)
+            self._keep(delta)
         self._remember(outcome)
         self._record(change, outcome, before)
         return outcome
 
+    def _keep(self, delta: StateDelta) -> None:
+        """Keep a delta for subscribers; the oldest go while their documents are too large."""
+        self._deltas.append(delta)
+        size = sum(document_bytes(each) for each in self._deltas)
+        while size > MAX_DELTA_BYTES and len(self._deltas) > 1:
+            size -= document_bytes(self._deltas.popleft())
+
     def outcome_of(self, change_id: str) -> Outcome | None:
         """Return the outcome of an applied change."""
         return self._outcomes.get(change_id)
--- a/lentilcourse/controller/progress.py
+++ b/lentilcourse/controller/progress.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lentilcourse.changes import Change, Outcome
-from lentilcourse.messages import Membership
+from lentilcourse.messages import Member, Membership
 
 
 class Role(enum.Enum):
@@ -39,6 +39,21 @@
     asked_term: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class PeerView:
+    """What a leader knows of one member of the group.
+
+    Attributes:
+        member: the member.
+        silence_s: time since its last answer, or since the leader's election.
+        caught_up: whether it holds all that is committed.
+    """
+
+    member: Member
+    silence_s: float
+    caught_up: bool
+
+
 @attrs.frozen(kw_only=True)
 class Proposal:
     """A change or membership that waits for a place in the log."""
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -22,12 +22,18 @@
 from typing import Final, TypeAlias
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Change, Outcome
+from lentilcourse.changes import Change, Outcome, change_size
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.controller.log_store import LogStore, Snapshot, Vote
 from lentilcourse.controller.machine import CatalogueMachine
-from lentilcourse.controller.progress import PeerProgress, Proposal, Role
+from lentilcourse.controller.progress import PeerProgress, PeerView, Proposal, Role
 from lentilcourse.controller.quorum import changed_membership, committed_index, quorum_size
-from lentilcourse.errors import ChangeRefusedError, NotLeaderError, StorageError
+from lentilcourse.errors import (
+    ChangeRefusedError,
+    NotLeaderError,
+    StorageError,
+    WrongReplicaError,
+)
 from lentilcourse.logs import get_logger
 from lentilcourse.messages import (
     AppendReply,
@@ -41,8 +47,12 @@
 )
 
 MAX_BATCH_ENTRIES: Final = 256
+MAX_BATCH_BYTES: Final = 1024 * 1024
+"""Bytes of documents after which a request takes no more entries: one must be taken within the
+time of a call to a peer."""
 HEARTBEATS_PER_TIMEOUT: Final = 6
-MS_PER_S: Final = 1000.0
+MAX_LOG_BYTES: Final = 4 * 1024 * 1024
+"""Size of the log at which a snapshot is written: log, copy and snapshot fit a small disk."""
 
 PeerRequest: TypeAlias = VoteRequest | AppendRequest | InstallRequest
 
@@ -199,6 +209,43 @@
             self._advance_commit(now)
             self.changed.notify_all()
 
+    def wait_confirmed(self, asked: float, timeout_s: float) -> bool:
+        """Wait until a quorum has confirmed after `asked` that this replica leads.
+
+        What is applied here then holds every change that was acknowledged before `asked`.
+        Returns False when it is not the leader or the confirmation is late.
+        """
+        with self.changed:
+            for progress in self._peers.values():
+                progress.sent = float("-inf")
+            self.changed.notify_all()
+            self.changed.wait_for(
+                lambda: self.role is not Role.LEADER or self._confirmed_after(asked),
+                timeout=timeout_s,
+            )
+            return self.role is Role.LEADER and self._confirmed_after(asked)
+
+    def _confirmed_after(self, asked: float) -> bool:
+        in_term = self._store.term_at(self.commit_index) == self.term
+        alone = len(self._store.membership().voters()) == 1
+        return in_term and (alone or self._quorum_contact(asked) >= asked)
+
+    def peer_views(self, now: float) -> tuple[PeerView, ...]:
+        """Return, as the leader, what is known of each member; empty at another replica."""
+        with self.changed:
+            if self.role is not Role.LEADER:
+                return ()
+            members = self._store.membership().members
+            return tuple(self._peer_view(member, now) for member in members)
+
+    def _peer_view(self, member: Member, now: float) -> PeerView:
+        progress = self._peers.get(member.replica_id)
+        if progress is None:
+            return PeerView(member=member, silence_s=0.0, caught_up=True)
+        contact = max(progress.contact, self._leader_since)
+        caught_up = progress.match_index >= self.commit_index
+        return PeerView(member=member, silence_s=now - contact, caught_up=caught_up)
+
     # Requests of peers.
 
     def on_vote_request(self, req: VoteRequest, now: float) -> VoteReply:
@@ -220,7 +267,8 @@
     def on_append_request(self, req: AppendRequest, now: float) -> AppendReply:
         """Append a leader's entries and answer once they are synced."""
         with self.changed:
-            if not self._follow(req.term, req.leader_id, req.receiver_id, now):
+            self._require_receiver(req.receiver_id)
+            if not self._follow(req.term, req.leader_id, now):
                 return self._append_reply(False, 0)
             self._leader_age_s = req.quorum_age_ms / MS_PER_S
             agrees = self._store.term_at(req.previous_index) == req.previous_term
@@ -237,7 +285,8 @@
     def on_install_request(self, req: InstallRequest, now: float) -> AppendReply:
         """Replace the log by a leader's snapshot."""
         with self.changed:
-            if not self._follow(req.term, req.leader_id, req.receiver_id, now):
+            self._require_receiver(req.receiver_id)
+            if not self._follow(req.term, req.leader_id, now):
                 return self._append_reply(False, 0)
             if req.last_index > self.commit_index:
                 self._store.install(
@@ -497,7 +546,7 @@
         previous_term = self._store.term_at(previous)
         if previous_term is None:
             return self._install_request(peer_id)
-        entries = self._store.entries_from(progress.next_index, MAX_BATCH_ENTRIES)
+        entries = bounded_batch(self._store.entries_from(progress.next_index, MAX_BATCH_ENTRIES))
         return AppendRequest(
             term=self.term,
             leader_id=self.replica_id,
@@ -536,8 +585,13 @@
 
     # Following a leader.
 
-    def _follow(self, term: int, leader_id: str, receiver_id: str, now: float) -> bool:
-        if receiver_id != self.replica_id or term < self.term:
+    def _require_receiver(self, receiver_id: str) -> None:
+        """Refuse a request for a former data folder: an answer would show that one alive."""
+        if receiver_id != self.replica_id:
+            raise WrongReplicaError(error_texts.WRONG_REPLICA.format(replica_id=receiver_id))
+
+    def _follow(self, term: int, leader_id: str, now: float) -> bool:
+        if term < self.term:
             return False
         if term > self.term or self.role is not Role.FOLLOWER:
             self._adopt_term(term, now)
@@ -596,7 +650,8 @@
             fut.set_exception(NotLeaderError(error_texts.NOT_LEADER))
 
     def _compact(self) -> None:
-        if self._store.record_count < self._snapshot_records:
+        small = self._store.log_bytes < MAX_LOG_BYTES
+        if self._store.record_count < self._snapshot_records and small:
             return
         self._store.install(
             Snapshot(
@@ -622,6 +677,16 @@
             self._become_follower(now)
 
 
+def bounded_batch(entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
+    """Return the first entries that fit one request; at least one where there is any."""
+    size = 0
+    for count, entry in enumerate(entries, 1):
+        size += change_size(entry.change) if entry.change is not None else 0
+        if size >= MAX_BATCH_BYTES:
+            return entries[:count]
+    return entries
+
+
 def _fail(batch: list[Proposal], exc: Exception) -> None:
     for proposal in batch:
         proposal.fut.set_exception(exc)
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -6,12 +6,15 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from functools import singledispatch
-from typing import Final
+from typing import Final, TypeAlias
 
 import attrs
 
 from lentilcourse import error_texts
+from lentilcourse.admin import AdminServer
+from lentilcourse.catalogue import Catalogue
 from lentilcourse.changes import (
     ANY_VERSION,
     SYSTEM_OPERATOR,
@@ -24,16 +27,25 @@
     RefusedAccess,
     SetDomain,
 )
-from lentilcourse.clocks import wall_clock_ms
+from lentilcourse.clocks import MS_PER_S, wall_clock_ms
+from lentilcourse.controller.directory_relay import DirectoryRelay
+from lentilcourse.controller.formation import (
+    Formation,
+    FoundRequest,
+    IdentifyRequest,
+    JoinRequest,
+)
 from lentilcourse.controller.leases import LeaseTable, due_actions
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
-from lentilcourse.controller.replica import MS_PER_S, Replica
+from lentilcourse.controller.reads import CatalogueReader, CatalogueReply, ReadCatalogue
+from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import ReplicaDriver
 from lentilcourse.controller.shares import due_shares
 from lentilcourse.controller.subscriptions import MAX_SUBSCRIBERS, Subscriptions
+from lentilcourse.directory import AgentList, Directory
 from lentilcourse.errors import (
     ChangeRefusedError,
     LentilcourseError,
@@ -44,6 +56,7 @@
 from lentilcourse.feed import MAX_FRESHNESS_MS
 from lentilcourse.ids import new_id
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.kernel.registry import Registry
 from lentilcourse.logs import get_logger
 from lentilcourse.messages import (
     Announcement,
@@ -67,6 +80,7 @@
     VoteRequest,
 )
 from lentilcourse.options import ControllerSettings, Settings
+from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.streams import (
     KIND_OPERATOR,
@@ -76,6 +90,11 @@
     Stream,
     StreamListener,
 )
+from lentilcourse.subscription import SeedReader
+
+OperatorInterface: TypeAlias = Callable[["Controller", AdminServer], None]
+
+OPERATOR_INTERFACES: Final[Registry[OperatorInterface]] = Registry(kind="operator interface")
 
 LEASE_CHECK_S: Final = 0.1
 UNPROVED_INTERVAL_S: Final = 1.0
@@ -96,6 +115,11 @@
     ForwardAnnouncement,
     StateRequest,
     StatusRequest,
+    IdentifyRequest,
+    FoundRequest,
+    JoinRequest,
+    ReadCatalogue,
+    AgentList,
 )
 
 _log = get_logger(__name__)
@@ -143,11 +167,24 @@
             controllers=settings.controllers,
             lifecycle=lifecycle,
         )
+        self.reader = CatalogueReader(
+            replica=self.replica, identity=identity, controllers=settings.controllers
+        )
         self.leases = LeaseTable()
+        self.directory = Directory(on_change=self._directory_changed)
+        self.relay = DirectoryRelay(
+            replica=self.replica, identity=identity, known=self.directory, lifecycle=lifecycle
+        )
         self.subscriptions = Subscriptions(
-            replica=self.replica, lifecycle=lifecycle, on_announcement=self.take_announcement
+            replica=self.replica,
+            lifecycle=lifecycle,
+            on_announcement=self.take_announcement,
+            on_notice=self.relay.take_direct,
+            directory=self.directory,
+            announce_members=settings.discovery is not None,
         )
-        self._tasks = lifecycle.pool(name="controller", limit=4)
+        self.formation = self._new_formation(identity)
+        self._tasks = lifecycle.pool(name="controller", limit=6)
         self._proposing: set[str] = set()
         self._proposing_lock = threading.Lock()
         self._listener = StreamListener(
@@ -166,10 +203,31 @@
         """Start all tasks."""
         self.driver.start()
         self._tasks.submit(self._listener.run)
-        self._tasks.submit(self._run_leases)
+        if self.formation is None:
+            self._tasks.submit(self._run_leases)
+        else:
+            self._tasks.submit(self.formation.run)
+            self._tasks.submit(self.relay.run)
         if self.replica.damaged:
             _log.warning("log_damaged", replica=self.replica.replica_id)
 
+    def _new_formation(self, identity: Identity) -> Formation | None:
+        discovery = self.settings.discovery
+        if discovery is None:
+            return None
+        return Formation(
+            replica=self.replica,
+            identity=identity,
+            address=self.cfg.address,
+            discovery=discovery,
+            seeds=SeedReader(file=self.settings.file, first=discovery.seeds).read,
+            lifecycle=self.lifecycle,
+        )
+
+    def _directory_changed(self) -> None:
+        with self.replica.changed:
+            self.replica.changed.notify_all()
+
     def serve(self, stream: Stream) -> None:
         """Serve one stream until it ends."""
         caller = Caller(name=stream.peer, kind=stream.kind, remote=stream.remote)
@@ -180,6 +238,11 @@
                 return
             stream.send(self._answer(msg, caller))
 
+    def applied_catalogue(self) -> Catalogue:
+        """Return the published catalogue that is committed and applied here."""
+        with self.replica.changed:
+            return self.replica.machine.state.catalogue
+
     def take_announcement(self, name: str, announcement: Announcement) -> None:
         """Renew a lease here, or at the leader."""
         if self.replica.role is Role.LEADER:
@@ -195,14 +258,8 @@
         if now - self._unproved_recorded < UNPROVED_INTERVAL_S:
             return
         self._unproved_recorded = now
-        change = Change(
-            change_id=new_id(),
-            operator=UNKNOWN_OPERATOR,
-            source=remote.rpartition(":")[0],
-            at_ms=wall_clock_ms(),
-            edit_version=ANY_VERSION,
-            action=RefusedAccess(name=self.name, reason=reason),
-        )
+        action = RefusedAccess(name=self.name, reason=reason)
+        change = own_change(UNKNOWN_OPERATOR, remote.rpartition(":")[0], action)
         with contextlib.suppress(LentilcourseError):
             self.proposer.submit(change)
 
@@ -249,14 +306,7 @@
         self._lease_pool.submit(lambda: self._propose_membership(action, place))
 
     def _propose_membership(self, action: Action, place: str) -> None:
-        change = Change(
-            change_id=new_id(),
-            operator=SYSTEM_OPERATOR,
-            source=self.name,
-            at_ms=wall_clock_ms(),
-            edit_version=ANY_VERSION,
-            action=action,
-        )
+        change = own_change(SYSTEM_OPERATOR, self.name, action)
         try:
             self.proposer.submit_as_leader(change)
         except ProposalUnknownError:
@@ -266,6 +316,20 @@
                 self._proposing.discard(place)
 
 
+def own_change(
+    operator: str, source: str, action: Action, edit_version: int = ANY_VERSION
+) -> Change:
+    """Return a change that a controller proposes, by default whatever version is in force."""
+    return Change(
+        change_id=new_id(),
+        operator=operator,
+        source=source,
+        at_ms=wall_clock_ms(),
+        edit_version=edit_version,
+        action=action,
+    )
+
+
 @singledispatch
 def answer(msg: object, controller: Controller, caller: Caller) -> object:
     """Return the answer to a request, by its kind."""
@@ -287,6 +351,39 @@
     return controller.replica.on_install_request(msg, time.monotonic())
 
 
+@answer.register
+def _identify(msg: IdentifyRequest, controller: Controller, caller: Caller) -> object:
+    return _formation(controller).identify()
+
+
+@answer.register
+def _found(msg: FoundRequest, controller: Controller, caller: Caller) -> object:
+    controller.replica.bootstrap(msg.membership)
+    return Done()
+
+
+@answer.register
+def _join(msg: JoinRequest, controller: Controller, caller: Caller) -> object:
+    return _formation(controller).add(msg.member, time.monotonic())
+
+
+def _formation(controller: Controller) -> Formation:
+    if controller.formation is None:
+        raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name="JoinRequest"))
+    return controller.formation
+
+
+@answer.register
+def _agents(msg: AgentList, controller: Controller, caller: Caller) -> object:
+    controller.directory.offer(msg.notices, time.monotonic())
+    return Done()
+
+
+@answer.register
+def _read_catalogue(msg: ReadCatalogue, controller: Controller, caller: Caller) -> object:
+    return CatalogueReply(catalogue=controller.reader.read_as_leader(time.monotonic()))
+
+
 @answer.register
 def _propose(msg: ProposeChange, controller: Controller, caller: Caller) -> object:
     change = Change(
@@ -380,3 +477,9 @@
     metrics.gauge("lentilcourse.controller.commit_index", lambda: replica.commit_index)
     metrics.gauge("lentilcourse.controller.leader", lambda: int(replica.role is Role.LEADER))
     controller.start()
+    if cfg.operator_interface:
+        load_plugin(cfg.operator_interface)
+        assert cfg.operator_address is not None
+        server = AdminServer(address=cfg.operator_address, lifecycle=context.lifecycle)
+        OPERATOR_INTERFACES.get(cfg.operator_interface)(controller, server)
+        server.start()
--- a/lentilcourse/controller/subscriptions.py
+++ b/lentilcourse/controller/subscriptions.py
@@ -14,11 +14,13 @@
 import attrs
 
 from lentilcourse.controller.replica import Replica
+from lentilcourse.directory import AgentNotice, Directory
 from lentilcourse.errors import StreamError
 from lentilcourse.feed import feed_subscriber
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages import (
     Announcement,
+    ControllerList,
     Report,
     ReportMessage,
     Subscribe,
@@ -47,8 +49,14 @@
         replica: Replica,
         lifecycle: Lifecycle,
         on_announcement: Callable[[str, Announcement], None],
+        on_notice: Callable[[AgentNotice, float], None],
+        directory: Directory,
+        announce_members: bool,
     ) -> None:
-        self._replica = replica
+        self._on_notice = on_notice
+        self._source = ReplicaSource(
+            replica=replica, directory=directory, announce_members=announce_members
+        )
         self._lifecycle = lifecycle
         self._on_announcement = on_announcement
         self._pool = lifecycle.pool(name="subscriber-writer", limit=MAX_SUBSCRIBERS)
@@ -62,6 +70,8 @@
             msg = stream.receive()
             if isinstance(msg, ReportMessage):
                 self._take_report(stream.peer, msg, time.monotonic())
+            elif isinstance(msg, AgentNotice):
+                self._on_notice(msg, time.monotonic())
 
     def reports(self, now: float) -> tuple[Report, ...]:
         """Return the reports that are not outdated, ordered by process."""
@@ -80,9 +90,7 @@
 
     def _write(self, stream: Stream, version: int) -> None:
         try:
-            feed_subscriber(
-                stream, ReplicaSource(replica=self._replica), version, self._lifecycle.stopped
-            )
+            feed_subscriber(stream, self._source, version, self._lifecycle.stopped)
         except StreamError:
             return
         finally:
@@ -94,6 +102,8 @@
     """Versions as a replica has applied them."""
 
     replica: Replica
+    directory: Directory
+    announce_members: bool
 
     def read_after(self, version: int) -> tuple[State, list[StateDelta] | None]:
         """Return the applied state, and the deltas after `version` if they are held."""
@@ -105,12 +115,22 @@
         """Return how long ago a quorum last confirmed the state."""
         return self.replica.freshness_s(now)
 
-    def wait_after(self, version: int, timeout_s: float) -> None:
-        """Wait until there is a version after `version`, at most `timeout_s`."""
-        deadline = time.monotonic() + timeout_s
+    def agents(self) -> Directory | None:
+        """Return the directory of this controller."""
+        return self.directory
+
+    def controllers(self) -> ControllerList | None:
+        """Return the members of the group, None where they are listed in settings."""
+        if not self.announce_members:
+            return None
+        members = self.replica.membership().members
+        return ControllerList(addresses=tuple(sorted(member.address for member in members)))
+
+    def wait_after(self, version: int, agents_version: int, timeout_s: float) -> None:
+        """Wait until the state or the directory has a newer version, at most `timeout_s`."""
+        machine = self.replica.machine
         with self.replica.changed:
-            while self.replica.machine.state.version <= version:
-                left = deadline - time.monotonic()
-                if left <= 0:
-                    return
-                self.replica.changed.wait(timeout=left)
+            self.replica.changed.wait_for(
+                lambda: machine.state.version > version or self.directory.version != agents_version,
+                timeout=timeout_s,
+            )
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -8,15 +8,13 @@
 import sys
 from typing import Final
 
-import defopt
-
 from lentilcourse.admin import AdminServer
 from lentilcourse.errors import LentilcourseError, SettingsError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import configure_logging, get_logger
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Settings, load_settings
-from lentilcourse.plugins import load_plugins
+from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.streams import TRAFFIC, start_heartbeats
 
@@ -47,7 +45,7 @@
     """Start the role, wait for the stop signal and return the exit status."""
     configure_logging(process=cfg.process.name, role=cfg.process.role, level=cfg.process.log_level)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    load_plugins()
+    load_plugin(cfg.process.role)
     lifecycle = Lifecycle()
     lifecycle.install_signal_handlers()
     metrics = Metrics(process=cfg.process.name, role=cfg.process.role, domain=cfg.process.domain)
@@ -70,6 +68,8 @@
 
 def main() -> None:
     """Parse the command line and run."""
+    import defopt  # noqa: PLC0415 - not needed where a supervisor calls `run_process`
+
     defopt.run(run)
 
 
--- a/lentilcourse/error_texts.py
+++ b/lentilcourse/error_texts.py
@@ -57,12 +57,16 @@
 MEMBERSHIP_UNSAFE: Final = "the change would leave fewer live voters than a quorum"
 LEARNER_BEHIND: Final = "learner {name} has not caught up yet; retry"
 
+WRONG_REPLICA: Final = "replica {replica_id} is not here any more"
+READ_UNCONFIRMED: Final = "no quorum confirmed within {seconds} s that this is the newest state"
+
 # Packets.
 PACKET_SHORT: Final = "datagram of {size} bytes is too short"
 PACKET_VERSION: Final = "unsupported version {version}"
 PACKET_OPTION: Final = "unknown critical option {option:#x}"
 PACKET_LENGTH: Final = "length field does not match the datagram"
 PACKET_PROTOCOL: Final = "unsupported protocol {protocol}"
+PACKET_FLAGS: Final = "unknown flags in {flags:#x}"
 PACKET_FRAGMENT: Final = "fragments are not carried"
 
 # Refusals.
--- a/lentilcourse/errors.py
+++ b/lentilcourse/errors.py
@@ -72,6 +72,10 @@
     """This replica cannot accept proposals now."""
 
 
+class WrongReplicaError(LentilcourseError):
+    """A request was meant for another data folder than the one at this address."""
+
+
 class ProposalUnknownError(LentilcourseError):
     """A proposal was neither committed nor refused in time; its outcome is not known."""
 
--- a/lentilcourse/lab/bench/control.py
+++ b/lentilcourse/lab/bench/control.py
@@ -30,7 +30,7 @@
 from lentilcourse.model import State
 from lentilcourse.options import Address, parse_address
 from lentilcourse.streams import KIND_PROCESS, Identity, start_heartbeats
-from lentilcourse.subscription import StateCopy, Subscription
+from lentilcourse.subscription import ControllerBook, StateCopy, Subscription
 
 SUBSCRIBERS: Final = 60
 CHANGES: Final = 60
@@ -97,7 +97,7 @@
         copy = StateCopy()
         copy.listen(self._note)
         Subscription(
-            controllers=controllers,
+            controllers=ControllerBook(given=lambda: list(controllers.values())),
             identity=Identity(name=name, kind=KIND_PROCESS, key=bytes.fromhex(CLUSTER_KEY)),
             copy=copy,
             lifecycle=self.lifecycle,
@@ -280,6 +280,6 @@
         source="",
         at_ms=0,
         edit_version=0,
-        action=attrs.evolve(entry(index), name=f"entry-{index}"),
+        action=entry(index),
     )
     return LogEntry(index=index, term=1, change=change)
--- a/lentilcourse/messages.py
+++ b/lentilcourse/messages.py
@@ -350,6 +350,14 @@
 # Subscribers and controllers.
 
 
+@message
+@attrs.frozen(kw_only=True)
+class ControllerList:
+    """Stream addresses (IP:PORT) of the controllers, from one of them to a subscriber."""
+
+    addresses: tuple[str, ...]
+
+
 @message
 @attrs.frozen(kw_only=True)
 class Subscribe:
--- a/lentilcourse/model.py
+++ b/lentilcourse/model.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from lentilcourse.catalogue import NO_CATALOGUE, Catalogue
 from lentilcourse.options import Address
 
 
@@ -66,6 +67,9 @@
     requests_in_flight: int = 0
 
 
+LIMIT_FIELDS: Final = tuple(field.name for field in attrs.fields(Limits))
+
+
 @attrs.frozen(kw_only=True)
 class Entry:
     """One catalogue entry.
@@ -180,12 +184,20 @@
     domains: dict[str, Domain] = attrs.field(factory=dict)
     targets: dict[str, Target] = attrs.field(factory=dict)
     shares: dict[str, LimitShare] = attrs.field(factory=dict)
+    catalogue: Catalogue = NO_CATALOGUE
 
     def domain_out(self, domain: str) -> bool:
         """Return whether operators have taken `domain` out of service."""
         record = self.domains.get(domain)
         return record is not None and record.state is DomainState.OUT
 
+    def granted_share(self, entry: Entry, target: Target) -> Limits:
+        """Return what one target's agent may use of an entry's limits; nothing without a share."""
+        share = self.shares.get(share_name(entry.name, target.name))
+        if share is None or (share.entry_id, share.target_id) != (entry.entry_id, target.target_id):
+            return Limits()
+        return share.granted
+
     def service_targets(self, service: str) -> list[Target]:
         """Return the targets of `service` in every membership state, ordered by name."""
         members = [target for target in self.targets.values() if target.service == service]
@@ -207,6 +219,7 @@
     removed_targets: tuple[str, ...] = ()
     shares: tuple[LimitShare, ...] = ()
     removed_shares: tuple[str, ...] = ()
+    catalogue: Catalogue | None = None
 
 
 NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target, LimitShare)
@@ -222,6 +235,7 @@
         domains=_replaced(state.domains, delta.domains, ()),
         targets=_replaced(state.targets, delta.targets, delta.removed_targets),
         shares=_replaced(state.shares, delta.shares, delta.removed_shares),
+        catalogue=delta.catalogue if delta.catalogue is not None else state.catalogue,
     )
 
 
--- a/lentilcourse/options.py
+++ b/lentilcourse/options.py
@@ -23,7 +23,14 @@
 MIN_KEY_HEX_DIGITS: Final = 32
 MAX_PORT: Final = 65535
 NAME_PATTERN: Final = re.compile(r"[A-Za-z][A-Za-z0-9._-]{0,62}")
-ROLES: Final = ("balancer", "agent", "controller", "operator")
+ROLES: Final = (
+    "balancer",
+    "agent",
+    "controller",
+    "operator",
+    "steering-balancer",
+    "steering-agent",
+)
 LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -61,12 +68,34 @@
     log_level: str
 
 
+@attrs.frozen(kw_only=True)
+class DiscoverySettings:
+    """Section [discovery]: controllers are found by seeds, not listed by name.
+
+    Attributes:
+        seeds: VMs on which controllers run, with the port of their stream listener.
+        first_start: whether the whole system starts for the first time.
+        lost_at_once: controllers that may be lost at the same time.
+    """
+
+    seeds: tuple[Address, ...]
+    first_start: bool
+    lost_at_once: int
+
+    @property
+    def voters(self) -> int:
+        """Controllers that vote once the group is complete."""
+        return 2 * self.lost_at_once + 1
+
+
 @attrs.frozen(kw_only=True)
 class ControllerSettings:
     """Section [controller].
 
     Attributes:
         address: listener for replicas, subscribers and operators.
+        operator_interface: plug-in through which operators publish catalogues, "" for none.
+        operator_address: listener of that plug-in.
         data_folder: folder of all durable state.
         snapshot_records: log records after which a snapshot is written.
         election_timeout_ms: shortest silence of a leader before an election.
@@ -78,6 +107,8 @@
     snapshot_records: int
     election_timeout_ms: int
     group_commit: bool
+    operator_interface: str = ""
+    operator_address: Address | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -118,6 +149,53 @@
     flow_idle_s: float
 
 
+@attrs.frozen(kw_only=True)
+class SteeringBalancerSettings:
+    """Section [steering] of a steering balancer.
+
+    Attributes:
+        packet_format: packet format plug-in.
+        packet_address: UDP listener for packets of callers.
+        peer_address: UDP listener for datagrams of agents.
+    """
+
+    packet_format: str
+    packet_address: Address
+    peer_address: Address
+
+
+@attrs.frozen(kw_only=True)
+class SteeringAgentSettings:
+    """Section [steering] of a steering agent.
+
+    Attributes:
+        packet_format: packet format plug-in.
+        peer_address: UDP listener for datagrams of balancers and agents.
+        outbound_address: UDP listener for packets of the target.
+        target_address: UDP address of the target.
+        target_interface: plug-in through which the target announces itself.
+        announce_address: listener of that plug-in.
+        caller_port: UDP port at which callers take packets; `caller_address` names it.
+        announcement_life_s: time after an announcement for which the target is believed to be
+            the one that sent it.
+        cold_overrun: how far a cold target's rate may be exceeded, as a factor.
+        cold_slack: requests in one second that a cold target takes beyond its rate.
+        flow_life_s: age in seconds after which a flow may be forgotten.
+    """
+
+    packet_format: str
+    peer_address: Address
+    outbound_address: Address
+    target_address: Address
+    target_interface: str
+    announce_address: Address
+    caller_port: int
+    announcement_life_s: float
+    cold_overrun: float
+    cold_slack: int
+    flow_life_s: float
+
+
 @attrs.frozen(kw_only=True)
 class Settings:
     """All settings of one process.
@@ -132,6 +210,9 @@
         controller: present for role controller.
         balancer: present for role balancer.
         agent: present for role agent.
+        discovery: present where controllers are found by seeds.
+        steering_balancer: present for role steering-balancer.
+        steering_agent: present for role steering-agent.
     """
 
     file: str
@@ -143,6 +224,9 @@
     controller: ControllerSettings | None
     balancer: BalancerSettings | None
     agent: AgentSettings | None
+    discovery: DiscoverySettings | None = None
+    steering_balancer: SteeringBalancerSettings | None = None
+    steering_agent: SteeringAgentSettings | None = None
 
 
 def load_settings(file: str) -> Settings:
@@ -225,6 +309,18 @@
     return _choice(choices)(text) == "yes"
 
 
+def _addresses(text: str) -> tuple[Address, ...]:
+    return tuple(parse_address(each.strip()) for each in text.split(","))
+
+
+def _optional_address(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
+def _optional_name(text: str) -> str:
+    return parse_name(text) if text else ""
+
+
 @attrs.define(kw_only=True)
 class _Reader:
     """Turns a parsed INI file into `Settings`."""
@@ -238,13 +334,18 @@
         settings = Settings(
             file=self.file,
             process=process,
-            controllers=self._named("controllers", parse_address),
+            controllers=self._controllers(),
             cluster_key=self._cluster_key(process.role),
             operator_keys=self._operator_keys(process.role),
             operator_key=self._operator_key(process.role),
             controller=self._controller() if process.role == "controller" else None,
             balancer=self._balancer() if process.role == "balancer" else None,
             agent=self._agent() if process.role == "agent" else None,
+            discovery=self._discovery(),
+            steering_balancer=(
+                self._steering_balancer() if process.role == "steering-balancer" else None
+            ),
+            steering_agent=self._steering_agent() if process.role == "steering-agent" else None,
         )
         self._refuse_unknown()
         return settings
@@ -262,6 +363,49 @@
             log_level=self._value("process", "log_level", _choice(LOG_LEVELS), default="INFO"),
         )
 
+    def _controllers(self) -> Mapping[str, Address]:
+        if self.parser.has_section("discovery"):
+            return {}
+        return self._named("controllers", parse_address)
+
+    def _discovery(self) -> DiscoverySettings | None:
+        section = "discovery"
+        if not self.parser.has_section(section):
+            return None
+        port = self._value(section, "stream_port", _integer(1, MAX_PORT))
+        seeds = self._value(section, "seeds", _addresses)
+        return DiscoverySettings(
+            seeds=tuple(Address(host=seed.host, port=port) for seed in seeds),
+            first_start=self._value(section, "first_start", _switch, default="no"),
+            lost_at_once=self._value(section, "lost_at_once", _integer(0, 7), default="1"),
+        )
+
+    def _steering_balancer(self) -> SteeringBalancerSettings:
+        section = "steering"
+        return SteeringBalancerSettings(
+            packet_format=self._value(section, "packet_format", parse_name),
+            packet_address=self._value(section, "packet_address", parse_address),
+            peer_address=self._value(section, "peer_address", parse_address),
+        )
+
+    def _steering_agent(self) -> SteeringAgentSettings:
+        section = "steering"
+        return SteeringAgentSettings(
+            packet_format=self._value(section, "packet_format", parse_name),
+            peer_address=self._value(section, "peer_address", parse_address),
+            outbound_address=self._value(section, "outbound_address", parse_address),
+            target_address=self._value(section, "target_address", parse_address),
+            target_interface=self._value(section, "target_interface", parse_name),
+            announce_address=self._value(section, "announce_address", parse_address),
+            caller_port=self._value(section, "caller_address", parse_address).port,
+            announcement_life_s=self._value(
+                section, "announcement_life_s", _seconds(0.1, 600.0), default="2"
+            ),
+            cold_overrun=self._value(section, "cold_overrun", _seconds(1.0, 10.0), default="1"),
+            cold_slack=self._value(section, "cold_slack", _integer(0, 1000), default="1"),
+            flow_life_s=self._value(section, "flow_life_s", _seconds(1.0, 604_800.0)),
+        )
+
     def _cluster_key(self, role: str) -> bytes:
         if role == "operator":
             return b""
@@ -289,6 +433,12 @@
                 section, "election_timeout_ms", _integer(50, 60_000), default="600"
             ),
             group_commit=self._value(section, "group_commit", _switch, default="yes"),
+            operator_interface=self._value(
+                section, "operator_interface", _optional_name, default=""
+            ),
+            operator_address=self._value(
+                section, "operator_address", _optional_address, default=""
+            ),
         )
 
     def _balancer(self) -> BalancerSettings:
--- /dev/null
+++ b/lentilcourse/steering/agent_flows.py
@@ -0,0 +1,411 @@
+"""Flows at an agent: which packets go to its target, and what happens to those given back.
+
+The target is the authority. An agent remembers flows that its target has accepted, so that it
+can answer a search at once; what it does not know it may still deliver, because a target gives
+back whatever it does not hold.
+"""
+
+from __future__ import annotations
+
+import enum
+import threading
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from lentilcourse.logs import get_logger
+from lentilcourse.model import State
+from lentilcourse.steering.datagrams import (
+    Envelope,
+    Kind,
+    OwnerNotice,
+    decode_envelope,
+    encode_envelope,
+    encode_owner,
+    service_key,
+)
+from lentilcourse.steering.load_meter import LoadMeter
+from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
+from lentilcourse.steering.peers import Peers, next_candidate
+from lentilcourse.steering.routes import Route, Routes
+from lentilcourse.steering.target_watch import TargetWatch
+
+MAX_HOPS: Final = 6
+"""Agents that may pass an opening packet on before the flow is refused."""
+BALANCER_LIFE_S: Final = 3.0
+"""Time after a packet from a balancer for which it is told this agent's load."""
+CLOSED_LIFE_S: Final = 3.0
+"""Time for which a closed flow is remembered, for late copies of its last packets."""
+HOP_BITS: Final = 4
+HOP_MASK: Final = (1 << HOP_BITS) - 1
+
+Send = Callable[[bytes, tuple[str, int]], None]
+
+_log = get_logger(__name__)
+
+
+class FlowState(enum.Enum):
+    """What the agent knows of a flow.
+
+    ASSUMED: a balancer believes that the target holds it. OFFERED: the opening packet was
+    delivered. HELD: the target has sent packets of it.
+    """
+
+    ASSUMED = "assumed"
+    OFFERED = "offered"
+    HELD = "held"
+
+
+@attrs.define(kw_only=True, slots=True)
+class FlowRecord:
+    """One flow at this agent.
+
+    Attributes:
+        state: what is known of it.
+        run: run of the target that it belongs to.
+        balancer: balancer that took its last packet.
+        began: when the record was made (monotonic seconds).
+        seen: when its last packet passed.
+        waiting: whether a request waits for the target's answer.
+        caller_closed: whether the caller has ended its side.
+        target_closed: whether the target has ended its side.
+    """
+
+    state: FlowState
+    run: int
+    balancer: tuple[str, int]
+    began: float
+    seen: float
+    waiting: bool = False
+    caller_closed: bool = False
+    target_closed: bool = False
+
+
+@attrs.define(kw_only=True)
+class AgentFlowCounts:
+    """What the agent has done with packets since its start."""
+
+    opened: int = 0
+    delivered: int = 0
+    answered: int = 0
+    passed_on: int = 0
+    refused: int = 0
+    returned: int = 0
+    sought: int = 0
+    claimed: int = 0
+    reset: int = 0
+    malformed: int = 0
+    wrong_service: int = 0
+    cold_declined: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class AgentLimits:
+    """Limits from the settings: see `SteeringAgentSettings`."""
+
+    cold_overrun: float
+    cold_slack: int
+    flow_life_s: float
+    domain: str
+    own: tuple[str, int]
+    target: tuple[str, int]
+    caller_port: int
+
+
+@attrs.frozen(kw_only=True)
+class AgentOutputs:
+    """Where datagrams go: to balancers and agents, to the target, and to callers."""
+
+    to_peer: Send
+    to_outside: Send
+
+
+class AgentFlows:
+    """All flows of one agent; methods may be called from any task."""
+
+    def __init__(
+        self,
+        *,
+        packet_format: PacketFormat,
+        watch: TargetWatch,
+        peers: Peers,
+        state: Callable[[], State],
+        limits: AgentLimits,
+        outputs: AgentOutputs,
+        now: float,
+    ) -> None:
+        self.counts = AgentFlowCounts()
+        self.meter = LoadMeter(now=now)
+        self._format = packet_format
+        self._watch = watch
+        self._peers = peers
+        self._state = state
+        self._limits = limits
+        self._outputs = outputs
+        self._routes = Routes(catalogue=lambda: state().catalogue)
+        self._started = now
+        self._flows: dict[bytes, FlowRecord] = {}
+        self._balancers: dict[tuple[str, int], float] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def open_flows(self) -> int:
+        """Flows that are remembered."""
+        return len(self._flows)
+
+    # Packets from balancers and agents.
+
+    def on_peer(self, datagram: bytes, now: float) -> None:
+        """Take one datagram; raises `PacketError` for one that can't be read."""
+        envelope, raw = decode_envelope(datagram)
+        packet = self._format.read_caller(raw)
+        with self._lock:
+            self._balancers[envelope.balancer] = now
+            if envelope.kind is Kind.OPEN:
+                self._on_open(envelope, packet, now)
+            elif envelope.kind is Kind.CARRY:
+                self._on_carry(envelope, packet, now)
+            elif envelope.kind is Kind.SEEK:
+                self._on_seek(envelope, packet, now)
+
+    def _on_open(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        record = self._flows.get(packet.flow)
+        if record is not None and record.run == self._watch.run and self._watch.present(now):
+            record.balancer = envelope.balancer
+            record.seen = now
+            self._deliver(packet, envelope)
+            return
+        if not self._admits(envelope, packet, now):
+            self._pass_on(envelope, packet)
+            return
+        self._flows[packet.flow] = FlowRecord(
+            state=FlowState.OFFERED,
+            run=self._watch.run,
+            balancer=envelope.balancer,
+            began=now,
+            seen=now,
+        )
+        self.counts.opened += 1
+        self._deliver(packet, envelope)
+
+    def _admits(self, envelope: Envelope, packet: FlowPacket, now: float) -> bool:
+        report = self._watch.report
+        if report is None or not self._watch.takes_new(now):
+            return False
+        state = self._state()
+        if state.version == 0 or state.domain_out(self._limits.domain):
+            return False
+        route = self._routes.find(packet.entry)
+        if not entry_allows(route, envelope, state.catalogue.number, report.service):
+            self.counts.wrong_service += 1
+            return False
+        policy = next(
+            (each for each in state.catalogue.services if each.name == report.service), None
+        )
+        if policy is not None and len(self._flows) >= policy.connections:
+            return False
+        rate = policy.cold_rate if policy is not None else 0.0
+        cold_limit = max(1, int(rate * self._limits.cold_overrun) + self._limits.cold_slack - 1)
+        if not self._watch.take_opening(cold_limit, now):
+            self.counts.cold_declined += 1
+            return False
+        return True
+
+    def _pass_on(self, envelope: Envelope, packet: FlowPacket) -> None:
+        hops = envelope.hops + 1
+        candidates = self._peers.table().serving.get(envelope.service, ())
+        peer = next_candidate(packet.flow, self._limits.own, candidates)
+        if peer is None or hops > MAX_HOPS:
+            self._refuse(packet, hops)
+            return
+        self.counts.passed_on += 1
+        raw = self._format.stamped(packet, 0)
+        self._outputs.to_peer(
+            encode_envelope(attrs.evolve(envelope, kind=Kind.OPEN, hops=hops), raw), peer.address
+        )
+
+    def _refuse(self, packet: FlowPacket, hops: int) -> None:
+        self.counts.refused += 1
+        self._send_caller(self._format.reset(packet), packet.flow)
+
+    def _on_carry(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        record = self._flows.get(packet.flow)
+        if record is None:
+            record = self._assume(envelope, packet, now)
+        record.balancer = envelope.balancer
+        self._note_caller(record, packet, now)
+        self._deliver(packet, envelope)
+
+    def _on_seek(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        record = self._flows.get(packet.flow)
+        if record is None:
+            if not self._may_have_forgotten(now):
+                return
+            record = self._assume(envelope, packet, now)
+        elif record.run != self._watch.run:
+            return
+        record.balancer = envelope.balancer
+        if record.state is FlowState.HELD:
+            self.counts.claimed += 1
+            self._claim(packet.flow, record, now)
+        self._note_caller(record, packet, now)
+        self._deliver(packet, envelope)
+
+    def _may_have_forgotten(self, now: float) -> bool:
+        """Whether the target may hold flows from before the start of this process."""
+        return now - self._started < self._limits.flow_life_s and self._watch.run <= 1
+
+    def _assume(self, envelope: Envelope, packet: FlowPacket, now: float) -> FlowRecord:
+        record = FlowRecord(
+            state=FlowState.ASSUMED,
+            run=self._watch.run,
+            balancer=envelope.balancer,
+            began=now,
+            seen=now,
+        )
+        self._flows[packet.flow] = record
+        return record
+
+    def _note_caller(self, record: FlowRecord, packet: FlowPacket, now: float) -> None:
+        record.seen = now
+        if packet.closing or packet.resetting:
+            record.caller_closed = True
+        if packet.data_bytes and not record.waiting:
+            record.waiting = True
+            self.meter.change(1, now)
+
+    def _deliver(self, packet: FlowPacket, envelope: Envelope) -> None:
+        stamp = (envelope.kind << HOP_BITS) | min(envelope.hops, HOP_MASK)
+        self.counts.delivered += 1
+        self._outputs.to_outside(self._format.stamped(packet, stamp), self._limits.target)
+
+    # Packets from the target.
+
+    def on_target(self, raw: bytes, now: float) -> None:
+        """Take one packet that the target sent or gave back; raises `PacketError`."""
+        packet = self._format.read_target(raw)
+        with self._lock:
+            if packet.returned:
+                self._on_returned(packet, now)
+            else:
+                self._on_answer(packet, now)
+
+    def _on_answer(self, packet: FlowPacket, now: float) -> None:
+        record = self._flows.get(packet.flow)
+        if record is None:
+            record = FlowRecord(
+                state=FlowState.HELD, run=self._watch.run, balancer=("", 0), began=now, seen=now
+            )
+            self._flows[packet.flow] = record
+        newly = record.state is not FlowState.HELD or packet.accepting
+        record.state = FlowState.HELD
+        record.run = self._watch.run
+        record.seen = now
+        if newly and record.balancer[1]:
+            self._claim(packet.flow, record, now)
+        if record.waiting and (packet.data_bytes or packet.resetting):
+            record.waiting = False
+            self.meter.change(-1, now)
+        if packet.closing or packet.resetting:
+            record.target_closed = True
+        self.counts.answered += 1
+        self._send_caller(packet.raw, packet.flow)
+
+    def _claim(self, flow: bytes, record: FlowRecord, now: float) -> None:
+        notice = OwnerNotice(load=self.load(now), flow=flow, owner=self._limits.own)
+        self._outputs.to_peer(encode_owner(notice), record.balancer)
+
+    def _on_returned(self, packet: FlowPacket, now: float) -> None:
+        self.counts.returned += 1
+        record = self._forget(packet.flow, now)
+        kind = packet.stamp >> HOP_BITS
+        if record is None or kind == Kind.SEEK:
+            return
+        hops = packet.stamp & HOP_MASK
+        if kind == Kind.OPEN and packet.opening:
+            self._pass_on(self._opening_envelope(packet, record, hops), packet)
+        elif (
+            kind == Kind.CARRY and record.state is FlowState.HELD and record.run != self._watch.run
+        ):
+            self.counts.reset += 1
+            self._send_caller(self._format.reset(packet), packet.flow)
+        elif kind == Kind.CARRY:
+            self._seek(packet, record)
+
+    def _opening_envelope(self, packet: FlowPacket, record: FlowRecord, hops: int) -> Envelope:
+        report = self._watch.report
+        service = service_key(report.service) if report is not None else b"\0" * 8
+        return Envelope(
+            kind=Kind.OPEN,
+            hops=hops,
+            balancer=record.balancer,
+            catalogue=self._state().catalogue.number,
+            service=service,
+        )
+
+    def _seek(self, packet: FlowPacket, record: FlowRecord) -> None:
+        self.counts.sought += 1
+        envelope = Envelope(kind=Kind.SEEK, hops=1, balancer=record.balancer)
+        datagram = encode_envelope(envelope, self._format.stamped(packet, 0))
+        for peer in self._peers.table().everyone:
+            if peer.address != self._limits.own:
+                self._outputs.to_peer(datagram, peer.address)
+
+    def _send_caller(self, raw: bytes, flow: bytes) -> None:
+        address = (self._format.caller_host(flow), self._limits.caller_port)
+        self._outputs.to_outside(raw, address)
+
+    # Upkeep.
+
+    def load(self, now: float) -> float:
+        """Return the load of the target."""
+        report = self._watch.report
+        return self.meter.load(report.slots if report is not None else 1, now)
+
+    def tell_load(self, now: float) -> None:
+        """Tell the load to the balancers that sent packets lately."""
+        with self._lock:
+            for address in [
+                each for each, seen in self._balancers.items() if now - seen > BALANCER_LIFE_S
+            ]:
+                del self._balancers[address]
+            addresses = list(self._balancers)
+            load = self.load(now)
+        datagram = encode_owner(OwnerNotice(load=load, flow=b"", owner=self._limits.own))
+        for address in addresses:
+            self._outputs.to_peer(datagram, address)
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that are over or idle for too long."""
+        idle_s = self._state().catalogue.flow_idle_s
+        with self._lock:
+            over = [flow for flow, record in self._flows.items() if is_over(record, idle_s, now)]
+            for flow in over:
+                self._forget(flow, now)
+
+    def _forget(self, flow: bytes, now: float) -> FlowRecord | None:
+        record = self._flows.pop(flow, None)
+        if record is not None and record.waiting:
+            self.meter.change(-1, now)
+        return record
+
+
+def is_over(record: FlowRecord, idle_s: float, now: float) -> bool:
+    """Return whether a flow may be forgotten."""
+    closed = record.caller_closed and record.target_closed
+    return now - record.seen > (CLOSED_LIFE_S if closed else idle_s)
+
+
+def entry_allows(route: Route | None, envelope: Envelope, number: int, service: str) -> bool:
+    """Return whether a flow of an entry may go to a service.
+
+    A balancer with a newer catalogue than `number` has decided by that one; otherwise the
+    route of the catalogue here decides.
+    """
+    key = service_key(service)
+    if envelope.service != key:
+        return False
+    if envelope.catalogue > number:
+        return True
+    return route is not None and key in route.keys
--- /dev/null
+++ b/lentilcourse/steering/agent_role.py
@@ -0,0 +1,163 @@
+"""Assembles the role steering-agent."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Final, TypeAlias
+
+import attrs
+
+from lentilcourse.admin import AdminServer
+from lentilcourse.directory import (
+    STATE_DRAINING,
+    STATE_IDLE,
+    STATE_SERVING,
+    AgentNotice,
+    AgentRecord,
+)
+from lentilcourse.kernel.registry import Registry
+from lentilcourse.model import State
+from lentilcourse.options import SteeringAgentSettings
+from lentilcourse.plugins import load_plugin
+from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.steering.agent_flows import AgentFlows, AgentLimits, AgentOutputs
+from lentilcourse.steering.loops import DatagramLoop
+from lentilcourse.steering.membership import Following, follow
+from lentilcourse.steering.packet_format import PACKET_FORMATS
+from lentilcourse.steering.target_watch import TargetWatch
+
+UPKEEP_INTERVAL_S: Final = 0.25
+"""Interval of load notices; also the longest delay with which a silent target is noticed."""
+SWEEPS_EVERY: Final = 4
+
+
+@attrs.frozen(kw_only=True)
+class TargetEdge:
+    """What a target interface plug-in works on.
+
+    Attributes:
+        watch: takes announcements and leaves.
+        changed: to be called after one that may change what the agent says of itself.
+    """
+
+    watch: TargetWatch
+    changed: Callable[[], None]
+
+
+TargetInterface: TypeAlias = Callable[[TargetEdge, AdminServer], None]
+
+TARGET_INTERFACES: Final[Registry[TargetInterface]] = Registry(kind="target interface")
+
+
+class SteeringAgent:
+    """One agent process."""
+
+    def __init__(self, *, context: ProcessContext, cfg: SteeringAgentSettings) -> None:
+        self._lifecycle = context.lifecycle
+        self._process = context.settings.process
+        self._cfg = cfg
+        self._peer_loop = DatagramLoop(address=cfg.peer_address, lifecycle=context.lifecycle)
+        self._target_loop = DatagramLoop(address=cfg.outbound_address, lifecycle=context.lifecycle)
+        self.watch = TargetWatch(address=cfg.target_address, life_s=cfg.announcement_life_s)
+        self.following: Following = follow(context, lambda: self.flows.open_flows, self.notice)
+        self.flows = AgentFlows(
+            packet_format=PACKET_FORMATS.get(cfg.packet_format),
+            watch=self.watch,
+            peers=self.following.peers,
+            state=lambda: self.following.copy.current,
+            limits=AgentLimits(
+                cold_overrun=cfg.cold_overrun,
+                cold_slack=cfg.cold_slack,
+                flow_life_s=cfg.flow_life_s,
+                domain=self._process.domain,
+                own=cfg.peer_address.pair(),
+                target=cfg.target_address.pair(),
+                caller_port=cfg.caller_port,
+            ),
+            outputs=AgentOutputs(to_peer=self._peer_loop.send, to_outside=self._target_loop.send),
+            now=time.monotonic(),
+        )
+        self._domain_was_out = False
+        self._told_state = ""
+        self.following.copy.listen(self._on_state)
+
+    def start(self) -> None:
+        """Start all tasks."""
+        tasks = self._lifecycle.pool(name="steering", limit=3)
+        tasks.submit(lambda: self._peer_loop.run(self.flows.on_peer))
+        tasks.submit(lambda: self._target_loop.run(self.flows.on_target))
+        tasks.submit(self._run_upkeep)
+        self.following.subscription.start()
+
+    def notice(self) -> AgentNotice:
+        """Return what this agent says of itself now."""
+        report = self.watch.report
+        return AgentNotice(
+            record=AgentRecord(
+                name=self._process.name,
+                address=self._cfg.peer_address,
+                service=report.service if report is not None else "",
+                domain=self._process.domain,
+                state=self._target_state(time.monotonic()),
+                slots=report.slots if report is not None else 0,
+            )
+        )
+
+    def target_changed(self) -> None:
+        """Tell the controller at once when the state of the target has changed."""
+        state = self._target_state(time.monotonic())
+        if state != self._told_state:
+            self._told_state = state
+            self.following.subscription.send_report()
+
+    def malformed(self) -> int:
+        """Return the datagrams that could not be read."""
+        return self._peer_loop.malformed + self._target_loop.malformed
+
+    def unsent(self) -> int:
+        """Return the datagrams that the system did not take."""
+        return self._peer_loop.unsent + self._target_loop.unsent
+
+    def _target_state(self, now: float) -> str:
+        if not self.watch.present(now):
+            return STATE_IDLE
+        return STATE_SERVING if self.watch.takes_new(now) else STATE_DRAINING
+
+    def _on_state(self, state: State, now: float) -> None:
+        is_out = state.domain_out(self._process.domain)
+        if self._domain_was_out and not is_out:
+            self.watch.domain_returned()
+        self._domain_was_out = is_out
+
+    def _run_upkeep(self) -> None:
+        turn = 0
+        while not self._lifecycle.stopped.wait(timeout=UPKEEP_INTERVAL_S):
+            now = time.monotonic()
+            self.flows.tell_load(now)
+            self.target_changed()
+            turn += 1
+            if turn % SWEEPS_EVERY == 0:
+                self.flows.sweep(now)
+                self.following.directory.expire(now)
+
+
+@ROLE_PLUGINS.register("steering-agent")
+def start_steering_agent(context: ProcessContext) -> None:
+    """Start the role steering-agent."""
+    cfg = context.settings.steering_agent
+    assert cfg is not None
+    load_plugin(cfg.packet_format)
+    load_plugin(cfg.target_interface)
+    agent = SteeringAgent(context=context, cfg=cfg)
+    server = AdminServer(address=cfg.announce_address, lifecycle=context.lifecycle)
+    edge = TargetEdge(watch=agent.watch, changed=agent.target_changed)
+    TARGET_INTERFACES.get(cfg.target_interface)(edge, server)
+    server.start()
+    metrics = context.metrics
+    metrics.counters_of("lentilcourse.steering", agent.flows.counts)
+    metrics.gauge("lentilcourse.steering.open_flows", lambda: agent.flows.open_flows)
+    metrics.gauge("lentilcourse.steering.in_flight", lambda: agent.flows.meter.in_flight)
+    metrics.counter("lentilcourse.packets.malformed", agent.malformed)
+    metrics.counter("lentilcourse.packets.unsent", agent.unsent)
+    agent.start()
--- /dev/null
+++ b/lentilcourse/steering/balancer_flows.py
@@ -0,0 +1,194 @@
+"""Flows at a balancer: which agent gets a caller's packet.
+
+A balancer keeps hints, nothing that it could not lose. A packet whose owner it does not know is
+sent to all agents at once; the owner takes it and says so.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from lentilcourse.model import State
+from lentilcourse.steering.datagrams import (
+    Envelope,
+    Kind,
+    OwnerNotice,
+    decode_owner,
+    encode_envelope,
+)
+from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
+from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.placement import AgentLoads, choose_peer
+from lentilcourse.steering.routes import Route, Routes
+
+RESEND_AFTER_S: Final = 0.15
+"""Time without an owner's notice after which a copy of an opening packet goes elsewhere;
+callers send the first copy after 0.2 s."""
+HINT_SLACK_S: Final = 5.0
+"""Time for which a hint is kept beyond the idle time of flows."""
+
+Send = Callable[[bytes, tuple[str, int]], None]
+
+
+@attrs.define(kw_only=True, slots=True)
+class Hint:
+    """Who is thought to own a flow.
+
+    Attributes:
+        owner: peer address of the agent.
+        told: whether the owner said so itself.
+        placed: when the opening packet was last sent to it (monotonic seconds).
+        seen: when the last packet of the flow passed.
+    """
+
+    owner: tuple[str, int]
+    told: bool
+    placed: float
+    seen: float
+
+
+@attrs.define(kw_only=True)
+class BalancerFlowCounts:
+    """What the balancer has done with packets since its start."""
+
+    received: int = 0
+    opened: int = 0
+    carried: int = 0
+    sought: int = 0
+    replaced: int = 0
+    unknown_entry: int = 0
+    no_target: int = 0
+    malformed: int = 0
+    notices: int = 0
+
+
+class BalancerFlows:
+    """All flows of one balancer; methods may be called from any task."""
+
+    def __init__(
+        self,
+        *,
+        packet_format: PacketFormat,
+        peers: Peers,
+        state: Callable[[], State],
+        own: tuple[str, int],
+        domain: str,
+        to_peer: Send,
+        to_caller: Send,
+        caller_port: int,
+        rng: random.Random,
+    ) -> None:
+        self.counts = BalancerFlowCounts()
+        self.loads = AgentLoads()
+        self._format = packet_format
+        self._peers = peers
+        self._state = state
+        self._routes = Routes(catalogue=lambda: state().catalogue)
+        self._own = own
+        self._domain = domain
+        self._to_peer = to_peer
+        self._to_caller = to_caller
+        self._caller_port = caller_port
+        self._rng = rng
+        self._hints: dict[bytes, Hint] = {}
+        self._lock = threading.Lock()
+
+    @property
+    def known_flows(self) -> int:
+        """Flows for which there is a hint."""
+        return len(self._hints)
+
+    def on_caller(self, raw: bytes, now: float) -> None:
+        """Take one packet of a caller; raises `PacketError` for one that can't be read."""
+        packet = self._format.read_caller(raw)
+        self.counts.received += 1
+        with self._lock:
+            hint = self._hints.get(packet.flow)
+            if packet.opening:
+                self._on_opening(packet, hint, now)
+            elif hint is not None:
+                hint.seen = now
+                self.counts.carried += 1
+                self._send(Kind.CARRY, packet, hint.owner)
+            else:
+                self._seek(packet)
+
+    def on_notice(self, datagram: bytes, now: float) -> None:
+        """Take an owner's notice; raises `PacketError`."""
+        notice = decode_owner(datagram)
+        self.counts.notices += 1
+        with self._lock:
+            self.loads.hear(notice.owner, notice.load, now)
+            if notice.flow:
+                self._learn(notice, now)
+
+    def sweep(self, now: float) -> None:
+        """Forget flows that have been idle for too long."""
+        life_s = self._state().catalogue.flow_idle_s + HINT_SLACK_S
+        with self._lock:
+            idle = [flow for flow, hint in self._hints.items() if now - hint.seen > life_s]
+            for flow in idle:
+                del self._hints[flow]
+
+    def _on_opening(self, packet: FlowPacket, hint: Hint | None, now: float) -> None:
+        route = self._routes.find(packet.entry)
+        if route is None:
+            self.counts.unknown_entry += 1
+            self._refuse(packet)
+            return
+        if hint is not None and (hint.told or now - hint.placed < RESEND_AFTER_S):
+            hint.seen = now
+            self._open(packet, route, hint.owner)
+            return
+        if hint is not None:
+            self.counts.replaced += 1
+            self.loads.unanswered(hint.owner, now)
+        self._place(packet, route, now)
+
+    def _place(self, packet: FlowPacket, route: Route, now: float) -> None:
+        peers = self._peers.table().serving.get(route.service_for(packet.flow), ())
+        peer = choose_peer(peers, self.loads, self._domain, self._rng, now)
+        if peer is None:
+            self.counts.no_target += 1
+            self._refuse(packet)
+            return
+        self.counts.opened += 1
+        self.loads.place(peer.address, now)
+        self._hints[packet.flow] = Hint(owner=peer.address, told=False, placed=now, seen=now)
+        self._open(packet, route, peer.address)
+
+    def _open(self, packet: FlowPacket, route: Route, owner: tuple[str, int]) -> None:
+        envelope = Envelope(
+            kind=Kind.OPEN,
+            hops=0,
+            balancer=self._own,
+            catalogue=self._state().catalogue.number,
+            service=route.service_for(packet.flow),
+        )
+        self._to_peer(encode_envelope(envelope, packet.raw), owner)
+
+    def _send(self, kind: Kind, packet: FlowPacket, owner: tuple[str, int]) -> None:
+        envelope = Envelope(kind=kind, hops=0, balancer=self._own)
+        self._to_peer(encode_envelope(envelope, packet.raw), owner)
+
+    def _seek(self, packet: FlowPacket) -> None:
+        self.counts.sought += 1
+        for peer in self._peers.table().everyone:
+            self._send(Kind.SEEK, packet, peer.address)
+
+    def _learn(self, notice: OwnerNotice, now: float) -> None:
+        hint = self._hints.get(notice.flow)
+        if hint is None:
+            self._hints[notice.flow] = Hint(owner=notice.owner, told=True, placed=now, seen=now)
+            return
+        hint.owner = notice.owner
+        hint.told = True
+
+    def _refuse(self, packet: FlowPacket) -> None:
+        host = self._format.caller_host(packet.flow)
+        self._to_caller(self._format.reset(packet), (host, self._caller_port))
--- /dev/null
+++ b/lentilcourse/steering/balancer_role.py
@@ -0,0 +1,65 @@
+"""Assembles the role steering-balancer."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Final
+
+from lentilcourse.plugins import load_plugin
+from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.steering.balancer_flows import BalancerFlows
+from lentilcourse.steering.loops import DatagramLoop
+from lentilcourse.steering.membership import follow
+from lentilcourse.steering.packet_format import PACKET_FORMATS
+
+SWEEP_INTERVAL_S: Final = 1.0
+LEAVE_S: Final = 2.0
+"""Time for which packets are carried after a stop signal: routers need two misses of a check
+every half second, and packets on their way must arrive."""
+
+
+@ROLE_PLUGINS.register("steering-balancer")
+def start_steering_balancer(context: ProcessContext) -> None:
+    """Start the role steering-balancer."""
+    settings, lifecycle = context.settings, context.lifecycle
+    cfg = settings.steering_balancer
+    assert cfg is not None
+    load_plugin(cfg.packet_format)
+    callers = DatagramLoop(address=cfg.packet_address, lifecycle=lifecycle)
+    agents = DatagramLoop(address=cfg.peer_address, lifecycle=lifecycle)
+    following = follow(context, lambda: flows.known_flows)
+    flows = BalancerFlows(
+        packet_format=PACKET_FORMATS.get(cfg.packet_format),
+        peers=following.peers,
+        state=lambda: following.copy.current,
+        own=cfg.peer_address.pair(),
+        domain=settings.process.domain,
+        to_peer=agents.send,
+        to_caller=callers.send,
+        caller_port=cfg.packet_address.port,
+        rng=random.Random(),
+    )
+
+    def ready() -> bool:
+        has_catalogue = following.copy.current.catalogue.number > 0
+        return has_catalogue and bool(following.peers.table().everyone)
+
+    def sweep() -> None:
+        while not lifecycle.stopped.wait(timeout=SWEEP_INTERVAL_S):
+            now = time.monotonic()
+            flows.sweep(now)
+            following.directory.expire(now)
+
+    context.admin.add_ready_check(ready)
+    lifecycle.on_drain(lambda: time.sleep(LEAVE_S))
+    metrics = context.metrics
+    metrics.counters_of("lentilcourse.steering", flows.counts)
+    metrics.gauge("lentilcourse.steering.known_flows", lambda: flows.known_flows)
+    metrics.counter("lentilcourse.packets.malformed", lambda: callers.malformed)
+    metrics.counter("lentilcourse.packets.unsent", lambda: callers.unsent + agents.unsent)
+    tasks = lifecycle.pool(name="steering", limit=3)
+    tasks.submit(lambda: callers.run(flows.on_caller))
+    tasks.submit(lambda: agents.run(flows.on_notice))
+    tasks.submit(sweep)
+    following.subscription.start()
--- /dev/null
+++ b/lentilcourse/steering/peers.py
@@ -0,0 +1,84 @@
+"""Views of the agents, derived from the directory and the replicated state.
+
+Rebuilt only when either has changed, so that a packet costs two comparisons.
+"""
+
+from __future__ import annotations
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from lentilcourse.directory import STATE_SERVING, AgentRecord, Directory
+from lentilcourse.steering.datagrams import service_key
+from lentilcourse.subscription import StateCopy
+
+
+@attrs.frozen(kw_only=True)
+class Peer:
+    """One agent as steering uses it: its address as a pair, and its place."""
+
+    name: str
+    address: tuple[str, int]
+    domain: str
+    slots: int
+
+
+@attrs.frozen(kw_only=True)
+class PeerTable:
+    """All agents, and those that take new flows by service key."""
+
+    everyone: tuple[Peer, ...] = ()
+    serving: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
+
+
+class Peers:
+    """The table of agents in force."""
+
+    def __init__(self, *, directory: Directory, copy: StateCopy) -> None:
+        self._directory = directory
+        self._copy = copy
+        self._built = (-1, -1)
+        self._table = PeerTable()
+
+    def table(self) -> PeerTable:
+        """Return the table for the directory and state of now."""
+        versions = (self._directory.version, self._copy.current.version)
+        if versions != self._built:
+            self._table = self._build()
+            self._built = versions
+        return self._table
+
+    def _build(self) -> PeerTable:
+        state = self._copy.current
+        records = self._directory.records()
+        serving: dict[bytes, list[Peer]] = {}
+        for record in records:
+            if record.state == STATE_SERVING and not state.domain_out(record.domain):
+                serving.setdefault(service_key(record.service), []).append(_peer(record))
+        return PeerTable(
+            everyone=tuple(_peer(record) for record in records),
+            serving={key: tuple(peers) for key, peers in serving.items()},
+        )
+
+
+def next_candidate(flow: bytes, own: tuple[str, int], peers: tuple[Peer, ...]) -> Peer | None:
+    """Return the agent that is asked after `own`, in an order that depends on the flow only."""
+    others = [peer for peer in peers if peer.address != own]
+    if not others:
+        return None
+    own_score = _score(flow, own)
+    after = [peer for peer in others if _score(flow, peer.address) > own_score]
+    return min(after or others, key=lambda peer: _score(flow, peer.address))
+
+
+def _score(flow: bytes, address: tuple[str, int]) -> int:
+    return xxh3_64_intdigest(flow + f"{address[0]}:{address[1]}".encode())
+
+
+def _peer(record: AgentRecord) -> Peer:
+    return Peer(
+        name=record.name,
+        address=record.address.pair(),
+        domain=record.domain,
+        slots=record.slots,
+    )
--- /dev/null
+++ b/lentilcourse/steering/target_watch.py
@@ -0,0 +1,145 @@
+"""What an agent believes of the target beside it.
+
+The target announces itself again and again. Announcements of several runs may cross: the run
+that started last is the one believed, and within a run the highest sequence. A target that has
+been silent for `life_s` is not believed to be there any more, since its address may have been
+given to a target of another service.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+
+import attrs
+
+from lentilcourse.logs import get_logger
+from lentilcourse.options import Address
+
+COLD_WINDOW_S = 1.0
+
+_log = get_logger(__name__)
+
+
+@attrs.frozen(kw_only=True)
+class TargetReport:
+    """One announcement of a target.
+
+    Attributes:
+        target_id: identity chosen by the target; may be used again after a restart.
+        born_ms: start of the run, in ms since 1970 by the target's clock; 0 where not said.
+        sequence: raised by the target with each announcement of a run.
+        service: service that it serves.
+        address: where it takes packets.
+        slots: requests that it runs at once.
+        draining: whether it takes no new work.
+        cold_s: how much longer it stays cold.
+    """
+
+    target_id: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: Address
+    slots: int
+    draining: bool
+    cold_s: float
+
+
+class Verdict(enum.Enum):
+    """What an announcement did."""
+
+    NEW_RUN = "new-run"
+    RENEWED = "renewed"
+    OUTDATED = "outdated"
+    FOREIGN = "foreign"
+
+
+class TargetWatch:
+    """The current run of the target.
+
+    Attributes:
+        report: its last announcement; None before the first and after it has left.
+        run: number of the run since the start of the agent, 0 before the first.
+    """
+
+    def __init__(self, *, address: Address, life_s: float) -> None:
+        self.report: TargetReport | None = None
+        self.run = 0
+        self._address = address
+        self._life_s = life_s
+        self._heard = float("-inf")
+        self._cold_until = float("-inf")
+        self._cold_until_heard = False
+        self._left: set[tuple[str, int]] = set()
+        self._openings: deque[float] = deque()
+
+    def offer(self, report: TargetReport, now: float) -> Verdict:
+        """Take an announcement."""
+        if report.address != self._address:
+            return Verdict.FOREIGN
+        if self._is_outdated(report):
+            return Verdict.OUTDATED
+        current = self.report
+        same = current is not None and _run_of(current) == _run_of(report)
+        if not same:
+            self.run += 1
+            _log.info(
+                "target_run", target=report.target_id, service=report.service, born=report.born_ms
+            )
+        elif current is not None and current.draining != report.draining:
+            _log.info("target_state", target=report.target_id, draining=report.draining)
+        self.report = report
+        self._heard = now
+        self._cold_until = now + report.cold_s
+        self._cold_until_heard = False
+        return Verdict.RENEWED if same else Verdict.NEW_RUN
+
+    def leave(self, target_id: str) -> bool:
+        """Forget a target that says it is gone; returns whether it was the current one."""
+        current = self.report
+        if current is None or current.target_id != target_id:
+            return False
+        self._left.add(_run_of(current))
+        self.report = None
+        _log.info("target_left", target=target_id)
+        return True
+
+    def domain_returned(self) -> None:
+        """Take the target for cold until it says otherwise: it may have turned cold meanwhile."""
+        self._cold_until_heard = True
+
+    def present(self, now: float) -> bool:
+        """Return whether the target was heard lately."""
+        return self.report is not None and now - self._heard <= self._life_s
+
+    def takes_new(self, now: float) -> bool:
+        """Return whether the target takes new flows, its coldness aside."""
+        return self.present(now) and self.report is not None and not self.report.draining
+
+    def cold(self, now: float) -> bool:
+        """Return whether the target is cold."""
+        return self._cold_until_heard or now < self._cold_until
+
+    def take_opening(self, cold_limit: int, now: float) -> bool:
+        """Count one opening; returns False when a cold target can't bear it."""
+        while self._openings and now - self._openings[0] > COLD_WINDOW_S:
+            self._openings.popleft()
+        if self.cold(now) and len(self._openings) >= cold_limit:
+            return False
+        self._openings.append(now)
+        return True
+
+    def _is_outdated(self, report: TargetReport) -> bool:
+        if _run_of(report) in self._left:
+            return True
+        current = self.report
+        if current is None:
+            return False
+        if _run_of(current) == _run_of(report):
+            return report.sequence <= current.sequence
+        return report.born_ms < current.born_ms
+
+
+def _run_of(report: TargetReport) -> tuple[str, int]:
+    return (report.target_id, report.born_ms)
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -12,15 +12,18 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Sequence
 from functools import singledispatchmethod
 from typing import Final
 
-from lentilcourse.errors import StreamError
+from lentilcourse.clocks import MS_PER_S
+from lentilcourse.directory import AgentList, AgentNotice, Directory
+from lentilcourse.errors import SettingsError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
 from lentilcourse.messages import (
     Announcement,
+    ControllerList,
     Delta,
     Freshness,
     FullState,
@@ -29,14 +32,13 @@
     Subscribe,
 )
 from lentilcourse.model import State, StateDelta, apply_delta
-from lentilcourse.options import Address
+from lentilcourse.options import Address, Settings, load_settings, parse_address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 REPORT_INTERVAL_S: Final = 0.4
 MAX_FRESHNESS_S: Final = 2.0
 RETRY_DELAY_S: Final = 0.1
 RELAY_TURN_S: Final = 3.0
-MS_PER_S: Final = 1000.0
 
 _log = get_logger(__name__)
 
@@ -78,29 +80,96 @@
         """Return how long ago a quorum was last known to stand behind the state."""
         return max(0.0, now - self.confirmed)
 
-    def wait_after(self, version: int, timeout_s: float) -> None:
+    def agents(self) -> Directory | None:
+        """Return no directory: a copy passes the state on alone."""
+        return None
+
+    def controllers(self) -> ControllerList | None:
+        """Return no controllers: a copy passes the state on alone."""
+        return None
+
+    def wait_after(self, version: int, agents_version: int, timeout_s: float) -> None:
         """Wait until there is a version after `version`, at most `timeout_s`."""
         with self._changed:
             self._changed.wait_for(lambda: self.current.version > version, timeout=timeout_s)
 
 
+class ControllerBook:
+    """Where controllers may be reached: a list given at the start, then what they say.
+
+    Addresses that were given are kept, so that a process whose last known controllers are all
+    gone falls back on them.
+    """
+
+    def __init__(self, *, given: Callable[[], Sequence[Address]]) -> None:
+        self._given = given
+        self._learnt: tuple[Address, ...] = ()
+
+    def learn(self, addresses: Sequence[Address]) -> None:
+        """Take the list of a controller in force."""
+        self._learnt = tuple(addresses)
+
+    def addresses(self) -> list[Address]:
+        """Return every address, those of the last list first."""
+        return list(dict.fromkeys((*self._learnt, *self._given())))
+
+
+def named_controllers(settings: Settings) -> ControllerBook:
+    """Return the controllers that the settings list by name."""
+    listed = [settings.controllers[name] for name in sorted(settings.controllers)]
+    return ControllerBook(given=lambda: listed)
+
+
+def seeded_controllers(settings: Settings) -> ControllerBook:
+    """Return the controllers that the settings' seeds lead to; the file is read anew each time."""
+    assert settings.discovery is not None
+    seeds = SeedReader(file=settings.file, first=settings.discovery.seeds)
+    return ControllerBook(given=seeds.read)
+
+
+class SeedReader:
+    """Reads the seeds again from the settings file, which may change while the process runs."""
+
+    def __init__(self, *, file: str, first: tuple[Address, ...]) -> None:
+        self._file = file
+        self._seeds = first
+
+    def read(self) -> tuple[Address, ...]:
+        """Return the seeds of the file now, the last readable ones if it can't be used."""
+        try:
+            discovery = load_settings(self._file).discovery
+        except SettingsError as exc:
+            _log.warning("settings_unreadable", error=str(exc))
+            return self._seeds
+        if discovery is not None and discovery.seeds != self._seeds:
+            _log.info("seeds_changed", seeds=[str(seed) for seed in discovery.seeds])
+            self._seeds = discovery.seeds
+        return self._seeds
+
+
 class Subscription:
-    """Keeps a `StateCopy` up to date and reports to the controller."""
+    """Keeps a `StateCopy` up to date and reports to the controller.
+
+    Where a directory is given it is kept up to date too, and `notice` is sent with each report.
+    """
 
     def __init__(
         self,
         *,
-        controllers: Mapping[str, Address],
+        controllers: ControllerBook,
         identity: Identity,
         copy: StateCopy,
         lifecycle: Lifecycle,
         report: Callable[[], Report],
         announce: Callable[[], Announcement | None],
         rng: random.Random,
+        directory: Directory | None = None,
+        notice: Callable[[], AgentNotice | None] = lambda: None,
     ) -> None:
-        names = sorted(controllers)
-        start = sum(identity.name.encode()) % len(names)
-        self._order = [controllers[name] for name in names[start:] + names[:start]]
+        self._controllers = controllers
+        self._first_turn = sum(identity.name.encode())
+        self._directory = directory
+        self._notice = notice
         self._identity = identity
         self._copy = copy
         self._lifecycle = lifecycle
@@ -123,13 +192,17 @@
             return
         try:
             stream.send(ReportMessage(report=self._report(), announcement=self._announce()))
+            notice = self._notice()
+            if notice is not None:
+                stream.send(notice)
         except StreamError:
             return
 
     def _run(self) -> None:
-        turn = 0
+        turn = self._first_turn
         while not self._lifecycle.stopped.is_set():
-            self._try(self._order[turn % len(self._order)], float("inf"))
+            order = self._controllers.addresses()
+            self._try(order[turn % len(order)], float("inf"))
             turn += 1
             relays = self._relays()
             if relays:
@@ -191,6 +264,17 @@
         self._copy.confirmed = max(self._copy.confirmed, time.monotonic() - age_s)
         return age_s <= MAX_FRESHNESS_S
 
+    @_take.register
+    def _take_agents(self, msg: AgentList) -> bool:
+        if self._directory is not None:
+            self._directory.offer(msg.notices, time.monotonic())
+        return True
+
+    @_take.register
+    def _take_controllers(self, msg: ControllerList) -> bool:
+        self._controllers.learn([parse_address(text) for text in msg.addresses])
+        return True
+
     def _run_reports(self) -> None:
         while not self._lifecycle.stopped.wait(timeout=REPORT_INTERVAL_S):
             self.send_report()
