Take SIGHUP, keep new learners, refuse nothing before the directory settles

A new learner was removed at once, since its silence was counted from the election. A restarted balancer refused flows for entries it had not learnt yet. Change: signals through a pipe, reload steps; silence counted from when a peer became known; opening packets are dropped until catalogue and directory are there. Messages split by use, so that a process imports fewer.

--- a/features/properties/admission.py
+++ b/features/properties/admission.py
@@ -18,7 +18,7 @@
 from lentilcourse.agent.target import TargetHealth
 from lentilcourse.changes import DrainTarget, SetDomain
 from lentilcourse.controller.shares import due_shares
-from lentilcourse.messages import Announcement, EntryUsage
+from lentilcourse.messages.state import Announcement, EntryUsage
 from lentilcourse.model import LIMIT_FIELDS, Limits, State, share_name
 from properties import prop
 from properties.members import ENTRY, NAMES, change_state, join
--- a/features/properties/catalogue.py
+++ b/features/properties/catalogue.py
@@ -23,7 +23,7 @@
 from lentilcourse.codec import pack_record, unpack_record
 from lentilcourse.controller.leases import LEASE_S, Lease, due_actions
 from lentilcourse.controller.machine import CatalogueMachine
-from lentilcourse.messages import Announcement, Delta, FullState
+from lentilcourse.messages.state import Announcement, Delta, FullState
 from lentilcourse.model import State, TargetState, apply_delta
 from lentilcourse.subscription import StateCopy, Subscription
 from properties import prop
--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -21,7 +21,7 @@
 from lentilcourse.controller.quorum import committed_index, quorum_size
 from lentilcourse.controller.replica import Replica
 from lentilcourse.errors import ChangeRefusedError, NotLeaderError, StorageError
-from lentilcourse.messages import AppendReply, Member, Membership, VoteReply, VoteRequest
+from lentilcourse.messages.consensus import AppendReply, Member, Membership, VoteReply, VoteRequest
 from properties import prop
 
 TIMEOUT_S = 1.0
--- a/features/properties/packets.py
+++ b/features/properties/packets.py
@@ -16,7 +16,7 @@
     decode_plain,
     encode_label,
 )
-from lentilcourse.messages import FlowRecord, RegisterFlows
+from lentilcourse.messages.flows import FlowRecord, RegisterFlows
 from lentilcourse.packets import (
     PROTOCOL_UDP,
     build_answer,
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -24,7 +24,8 @@
 from lentilcourse.balancer.retry_budget import MAX_SAVED_RETRIES, RETRY_SHARE, RetryBudget
 from lentilcourse.buckets import BUCKETS, bucket_of, rendezvous_table
 from lentilcourse.http_server import HttpRequest
-from lentilcourse.messages import Header, KeyState, Refusal, RequestStart
+from lentilcourse.messages.base import Header
+from lentilcourse.messages.requests import KeyState, Refusal, RequestStart
 from lentilcourse.model import State
 from lentilcourse.refusals import Cause, http_body, http_status, system_refusal
 from properties import prop
--- a/features/properties/streams.py
+++ b/features/properties/streams.py
@@ -9,7 +9,8 @@
 
 from lentilcourse.codec import encode_message
 from lentilcourse.errors import StreamError
-from lentilcourse.messages import Heartbeat, StateRequest, StatusRequest
+from lentilcourse.messages.base import Heartbeat
+from lentilcourse.messages.operators import StateRequest, StatusRequest
 from lentilcourse.streams import HEARTBEAT_DEADLINE_S, Stream
 from properties import prop
 
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -12,7 +12,7 @@
 from lentilcourse.lab.cluster import read_metrics
 from lentilcourse.lab.request_load import RequestPlan, send_request
 from lentilcourse.lab.shapes import ADMIN_PORT, Layout
-from lentilcourse.messages import AuditRequest
+from lentilcourse.messages.operators import AuditRequest
 from lentilcourse.operator_client import is_accepted
 from lentilcourse.options import load_settings
 
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -19,7 +19,8 @@
 from lentilcourse.lab.cluster import wait_until
 from lentilcourse.lab.links import LinkBoard
 from lentilcourse.lab.shapes import Layout
-from lentilcourse.messages import AuditRequest, ChangeReply, ProposeChange, StateReply, StateRequest
+from lentilcourse.messages.consensus import ChangeReply
+from lentilcourse.messages.operators import AuditRequest, ProposeChange, StateReply, StateRequest
 from lentilcourse.operator_client import is_accepted
 
 SETTLE_S = 40.0
--- a/lentilcourse/agent/flow_balance.py
+++ b/lentilcourse/agent/flow_balance.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lentilcourse.messages import FlowLoad
+from lentilcourse.messages.flows import FlowLoad
 
 
 @attrs.define(kw_only=True)
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -25,7 +25,7 @@
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
 from lentilcourse.geneve import PacketLabel
-from lentilcourse.messages import (
+from lentilcourse.messages.flows import (
     FlowLoad,
     FlowRecord,
     ForgetFlows,
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -50,11 +50,8 @@
     decode_labelled,
     encode_label,
 )
-from lentilcourse.messages import (
-    FlowRecord,
-    ForgetFlows,
-    Refusal,
-)
+from lentilcourse.messages.flows import FlowRecord, ForgetFlows
+from lentilcourse.messages.requests import Refusal
 from lentilcourse.model import Entry, Limits, State
 from lentilcourse.packets import (
     PROTOCOL_TCP,
--- a/lentilcourse/agent/flow_refusals.py
+++ b/lentilcourse/agent/flow_refusals.py
@@ -6,7 +6,7 @@
 
 from lentilcourse.agent.admission import DECLINE_CAUSE, Decline
 from lentilcourse.geneve import PLAIN_HEADER
-from lentilcourse.messages import Refusal
+from lentilcourse.messages.requests import Refusal
 from lentilcourse.model import Entry
 from lentilcourse.packets import (
     ICMP_CODE_HOST_UNREACHABLE,
--- a/lentilcourse/agent/flow_table.py
+++ b/lentilcourse/agent/flow_table.py
@@ -13,7 +13,7 @@
 import attrs
 
 from lentilcourse.agent.delivery import FlowChannel
-from lentilcourse.messages import FlowRecord
+from lentilcourse.messages.flows import FlowRecord
 
 PROVISIONAL_LIFE_S: Final = 1.5
 FORMER_HOME_LIFE_S: Final = 60.0
--- a/lentilcourse/agent/idempotency.py
+++ b/lentilcourse/agent/idempotency.py
@@ -14,7 +14,7 @@
 import attrs
 from xxhash import xxh3_128_digest
 
-from lentilcourse.messages import AnswerChunk, AnswerStart, KeyState, Refusal, RequestStart
+from lentilcourse.messages.requests import AnswerChunk, AnswerStart, KeyState, Refusal, RequestStart
 
 MAX_RECORDS: Final = 100_000
 MAX_STORED_ANSWER_BYTES: Final = 64 * 1024
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -17,7 +17,7 @@
 from lentilcourse.buckets import EMPTY_TABLE, BucketTable, bucket_of, build_table
 from lentilcourse.clocks import wall_clock_ms
 from lentilcourse.ids import new_id
-from lentilcourse.messages import (
+from lentilcourse.messages.requests import (
     ClaimAcknowledged,
     KeysComplete,
     KeyState,
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -27,7 +27,7 @@
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import PoolFullError, StreamError, TargetFailedError
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import (
+from lentilcourse.messages.requests import (
     AnswerChunk,
     AnswerCut,
     AnswerRefused,
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -19,23 +19,17 @@
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.feed import feed_subscriber
 from lentilcourse.ids import new_id
-from lentilcourse.messages import (
-    Announcement,
-    ClaimAcknowledged,
-    EntryUsage,
+from lentilcourse.messages.flows import (
     FlowLoad,
     ForgetFlows,
-    KeysComplete,
-    KeyState,
     RecordedFlows,
     RecordsSent,
     RecoveredFlows,
     RegisterFlows,
     RegistrationComplete,
-    ReleaseKey,
-    Report,
-    Subscribe,
 )
+from lentilcourse.messages.requests import ClaimAcknowledged, KeysComplete, KeyState, ReleaseKey
+from lentilcourse.messages.state import Announcement, EntryUsage, Report, Subscribe
 from lentilcourse.metrics import Metrics
 from lentilcourse.model import Limits, State
 from lentilcourse.refusals import RefusalCounts
--- a/lentilcourse/agent/target.py
+++ b/lentilcourse/agent/target.py
@@ -24,7 +24,7 @@
 from lentilcourse.http_server import HttpRequest
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import Announcement
+from lentilcourse.messages.state import Announcement
 from lentilcourse.options import Address, AgentSettings, parse_address, parse_name
 
 ANNOUNCEMENT_LIFE_S: Final = 1.5
--- a/lentilcourse/agent/target_client.py
+++ b/lentilcourse/agent/target_client.py
@@ -17,7 +17,8 @@
 
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import TargetFailedError
-from lentilcourse.messages import Header, RequestStart
+from lentilcourse.messages.base import Header
+from lentilcourse.messages.requests import RequestStart
 from lentilcourse.options import Address
 
 CONNECT_TIMEOUT_S: Final = 0.5
--- a/lentilcourse/balancer/links.py
+++ b/lentilcourse/balancer/links.py
@@ -16,7 +16,7 @@
 
 from lentilcourse.errors import StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import (
+from lentilcourse.messages.requests import (
     AnswerChunk,
     AnswerCut,
     AnswerRefused,
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -24,7 +24,7 @@
 from lentilcourse.http_server import HttpRequest, HttpRequestError, HttpServerConnection
 from lentilcourse.ids import new_id
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import (
+from lentilcourse.messages.requests import (
     AnswerChunk,
     AnswerRefused,
     AnswerStart,
--- a/lentilcourse/balancer/role.py
+++ b/lentilcourse/balancer/role.py
@@ -8,7 +8,7 @@
 from lentilcourse.balancer.packet_path import PacketPath
 from lentilcourse.balancer.policies import POLICY_PLUGINS
 from lentilcourse.balancer.request_path import RequestPath
-from lentilcourse.messages import Report
+from lentilcourse.messages.state import Report
 from lentilcourse.metrics import Metrics
 from lentilcourse.refusals import RefusalCounts
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
--- a/lentilcourse/codec.py
+++ b/lentilcourse/codec.py
@@ -13,16 +13,19 @@
 from cattrs.strategies import configure_tagged_union
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Action
 from lentilcourse.errors import ProtocolError
-from lentilcourse.messages import MESSAGE_CLASSES
+from lentilcourse.messages.base import MESSAGE_CLASSES
 
 T = TypeVar("T")
 
 MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
 
 _converter = make_converter()
-configure_tagged_union(Action, _converter, tag_name="action")
+
+
+def register_union(union: Any, tag_name: str) -> None:
+    """Tell the classes of a union apart by a field of that name."""
+    configure_tagged_union(union, _converter, tag_name=tag_name)
 
 
 def encode_message(msg: object) -> bytes:
--- a/lentilcourse/commands/controllers.py
+++ b/lentilcourse/commands/controllers.py
@@ -17,7 +17,8 @@
     print_table,
 )
 from lentilcourse.errors import ChangeRefusedError
-from lentilcourse.messages import Member, Membership, StatusReply
+from lentilcourse.messages.consensus import Member, Membership
+from lentilcourse.messages.operators import StatusReply
 from lentilcourse.operator_client import OperatorClient
 
 CATCH_UP_TIMEOUT_S: Final = 30.0
--- a/lentilcourse/commands/inspection.py
+++ b/lentilcourse/commands/inspection.py
@@ -20,7 +20,8 @@
     print_json,
     print_table,
 )
-from lentilcourse.messages import AuditRequest, Refusal
+from lentilcourse.messages.operators import AuditRequest
+from lentilcourse.messages.requests import Refusal
 from lentilcourse.operator_client import OperatorClient
 from lentilcourse.refusals import describe
 
--- a/lentilcourse/controller/directory_relay.py
+++ b/lentilcourse/controller/directory_relay.py
@@ -14,7 +14,7 @@
 from lentilcourse.directory import AgentList, AgentNotice, Directory
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import Member
+from lentilcourse.messages.consensus import Member
 from lentilcourse.options import parse_address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
--- a/lentilcourse/controller/formation.py
+++ b/lentilcourse/controller/formation.py
@@ -22,7 +22,8 @@
 from lentilcourse.errors import ChangeRefusedError, LentilcourseError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import Failure, Member, Membership, message
+from lentilcourse.messages.base import Failure, message
+from lentilcourse.messages.consensus import Member, Membership
 from lentilcourse.options import Address, DiscoverySettings, parse_address
 from lentilcourse.streams import Identity, connect_stream
 
--- a/lentilcourse/controller/leases.py
+++ b/lentilcourse/controller/leases.py
@@ -12,7 +12,7 @@
 import attrs
 
 from lentilcourse.changes import Action, JoinTarget, LoseTarget, RemoveTarget
-from lentilcourse.messages import Announcement
+from lentilcourse.messages.state import Announcement
 from lentilcourse.model import State, Target, TargetState
 
 LEASE_S: Final = 1.2
--- a/lentilcourse/controller/log_store.py
+++ b/lentilcourse/controller/log_store.py
@@ -18,7 +18,7 @@
 from lentilcourse.codec import pack_record, unpack_record
 from lentilcourse.controller.files import RecordFile, read_checked, sync_folder, write_atomically
 from lentilcourse.errors import ProtocolError, StorageError
-from lentilcourse.messages import LogEntry, Membership
+from lentilcourse.messages.consensus import LogEntry, Membership
 
 Loaded = TypeVar("Loaded")
 
--- a/lentilcourse/controller/machine.py
+++ b/lentilcourse/controller/machine.py
@@ -14,7 +14,7 @@
 
 from lentilcourse.changes import Change, Outcome, decide_change, subject, summarize
 from lentilcourse.codec import pack_record, unpack_record
-from lentilcourse.messages import AuditRecord, AuditRequest
+from lentilcourse.messages.operators import AuditRecord, AuditRequest
 from lentilcourse.model import State, StateDelta, apply_delta
 
 MAX_OUTCOMES: Final = 20_000
--- a/lentilcourse/controller/membership.py
+++ b/lentilcourse/controller/membership.py
@@ -16,7 +16,7 @@
 import attrs
 
 from lentilcourse.controller.progress import PeerView
-from lentilcourse.messages import Member
+from lentilcourse.messages.consensus import Member
 
 VOTER_LOST_AFTER_S: Final = 3.0
 """Silence after which a voter may be replaced by a learner: longer than a restart takes."""
--- a/lentilcourse/controller/progress.py
+++ b/lentilcourse/controller/progress.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lentilcourse.changes import Change, Outcome
-from lentilcourse.messages import Member, Membership
+from lentilcourse.messages.consensus import Member, Membership
 
 
 class Role(enum.Enum):
@@ -27,12 +27,14 @@
     Attributes:
         next_index: next entry to send.
         match_index: last entry known to be synced there.
+        known_since: time at which the peer became known to this leader or candidate.
         contact: time at which the last answered request was sent.
         sent: time at which the last request was sent.
         asked_term: term of the last vote request; negative for a pre-vote.
     """
 
     next_index: int
+    known_since: float
     match_index: int = 0
     contact: float = float("-inf")
     sent: float = float("-inf")
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -20,7 +20,8 @@
 from lentilcourse.controller.replication import member_address
 from lentilcourse.errors import NotLeaderError, ProposalUnknownError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import ChangeReply, ForwardAnnouncement, ForwardChange, Member
+from lentilcourse.messages.consensus import ChangeReply, ForwardChange, Member
+from lentilcourse.messages.state import ForwardAnnouncement
 from lentilcourse.options import Address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
--- a/lentilcourse/controller/quorum.py
+++ b/lentilcourse/controller/quorum.py
@@ -6,7 +6,7 @@
 
 from lentilcourse import error_texts
 from lentilcourse.errors import ChangeRefusedError
-from lentilcourse.messages import Member, Membership
+from lentilcourse.messages.consensus import Member, Membership
 
 
 def quorum_size(voters: int) -> int:
--- a/lentilcourse/controller/reads.py
+++ b/lentilcourse/controller/reads.py
@@ -18,7 +18,7 @@
 from lentilcourse.controller.proposals import LeaderClient
 from lentilcourse.controller.replica import Replica
 from lentilcourse.errors import NotLeaderError
-from lentilcourse.messages import message
+from lentilcourse.messages.base import message
 from lentilcourse.options import Address
 from lentilcourse.streams import Identity
 
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -35,7 +35,7 @@
     WrongReplicaError,
 )
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import (
+from lentilcourse.messages.consensus import (
     AppendReply,
     AppendRequest,
     InstallRequest,
@@ -205,7 +205,7 @@
                 return
             for entry, proposal in zip(entries, batch, strict=True):
                 self._waiting[entry.index] = (entry.term, proposal.fut)
-            self._sync_peers()
+            self._sync_peers(now)
             self._advance_commit(now)
             self.changed.notify_all()
 
@@ -241,11 +241,14 @@
     def _peer_view(self, member: Member, now: float) -> PeerView:
         progress = self._peers.get(member.replica_id)
         if progress is None:
-            return PeerView(member=member, silence_s=0.0, caught_up=True)
-        contact = max(progress.contact, self._leader_since)
+            return PeerView(member=member, silence_s=0.0, caught_up=self._is_self(member))
+        contact = max(progress.contact, progress.known_since)
         caught_up = progress.match_index >= self.commit_index
         return PeerView(member=member, silence_s=now - contact, caught_up=caught_up)
 
+    def _is_self(self, member: Member) -> bool:
+        return member.replica_id == self.replica_id
+
     # Requests of peers.
 
     def on_vote_request(self, req: VoteRequest, now: float) -> VoteReply:
@@ -441,19 +444,19 @@
             return
         self.role = Role.PRE_CANDIDATE
         self.leader_id = ""
-        self._begin_vote()
+        self._begin_vote(now)
         self._count_votes(now)
 
     def _start_vote(self, now: float) -> None:
         self._store.save_vote(Vote(term=self.term + 1, candidate_id=self.replica_id))
         self.role = Role.CANDIDATE
         self._election_due = now + self._election_delay()
-        self._begin_vote()
+        self._begin_vote(now)
         self._count_votes(now)
 
-    def _begin_vote(self) -> None:
+    def _begin_vote(self, now: float) -> None:
         self._votes = {self.replica_id}
-        self._sync_peers()
+        self._sync_peers(now)
         for progress in self._peers.values():
             progress.asked_term = 0
         self.changed.notify_all()
@@ -472,7 +475,7 @@
         self.leader_id = self.replica_id
         self._leader_since = now
         self._peers = {}
-        self._sync_peers()
+        self._sync_peers(now)
         _log.info("leader_elected", term=self.term, replica=self.replica_id)
         self._queue(Proposal(change=None, membership=None, fut=Future()))
         self.changed.notify_all()
@@ -518,11 +521,13 @@
 
     # Replication as the leader.
 
-    def _sync_peers(self) -> None:
+    def _sync_peers(self, now: float) -> None:
         members = self._store.membership().members
         others = {each.replica_id for each in members} - {self.replica_id}
         for peer_id in others - self._peers.keys():
-            self._peers[peer_id] = PeerProgress(next_index=self._store.last_index + 1)
+            self._peers[peer_id] = PeerProgress(
+                next_index=self._store.last_index + 1, known_since=now
+            )
         for peer_id in self._peers.keys() - others:
             del self._peers[peer_id]
 
--- a/lentilcourse/controller/replication.py
+++ b/lentilcourse/controller/replication.py
@@ -18,7 +18,7 @@
 from lentilcourse.errors import ProtocolError, StorageError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import (
+from lentilcourse.messages.consensus import (
     AppendReply,
     AppendRequest,
     InstallRequest,
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -58,27 +58,26 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.kernel.registry import Registry
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import (
-    Announcement,
+from lentilcourse.messages.base import Done, Failure
+from lentilcourse.messages.consensus import (
     AppendRequest,
-    AuditReply,
-    AuditRequest,
-    BootstrapRequest,
     ChangeReply,
-    Done,
-    Failure,
-    ForwardAnnouncement,
     ForwardChange,
     InstallRequest,
+    VoteRequest,
+)
+from lentilcourse.messages.operators import (
+    AuditReply,
+    AuditRequest,
+    BootstrapRequest,
     MembershipRequest,
     ProposeChange,
     StateReply,
     StateRequest,
     StatusReply,
     StatusRequest,
-    Subscribe,
-    VoteRequest,
 )
+from lentilcourse.messages.state import Announcement, ForwardAnnouncement, Subscribe
 from lentilcourse.options import ControllerSettings, Settings
 from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
--- a/lentilcourse/controller/shares.py
+++ b/lentilcourse/controller/shares.py
@@ -13,7 +13,7 @@
 
 from lentilcourse.buckets import takes_new_work
 from lentilcourse.changes import SetShares
-from lentilcourse.messages import Announcement
+from lentilcourse.messages.state import Announcement
 from lentilcourse.model import LIMIT_FIELDS, Entry, Limits, LimitShare, State, Target, share_name
 
 
--- a/lentilcourse/controller/subscriptions.py
+++ b/lentilcourse/controller/subscriptions.py
@@ -18,7 +18,7 @@
 from lentilcourse.errors import StreamError
 from lentilcourse.feed import feed_subscriber
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.messages import (
+from lentilcourse.messages.state import (
     Announcement,
     ControllerList,
     Report,
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -15,7 +15,7 @@
 import attrs
 
 from lentilcourse.clocks import MS_PER_S
-from lentilcourse.messages import message
+from lentilcourse.messages.base import message
 from lentilcourse.options import Address
 
 RECORD_LIFE_S: Final = 6.0
@@ -23,6 +23,10 @@
 REFRESH_INTERVAL_S: Final = 2.0
 """Longest pause between two lists to one subscriber."""
 
+SETTLED_AFTER_S: Final = 1.0
+"""Time without a change after which the records are taken for complete: agents report every
+0.4 s, and controllers relay at once."""
+
 STATE_SERVING: Final = "serving"
 STATE_DRAINING: Final = "draining"
 STATE_IDLE: Final = "idle"
@@ -78,10 +82,12 @@
 
     Attributes:
         version: raised with each change that a reader can see.
+        changed_at: time of the last such change; infinite before the first.
     """
 
     def __init__(self, *, on_change: Callable[[], None] = lambda: None) -> None:
         self.version = 0
+        self.changed_at = float("inf")
         self._on_change = on_change
         self._lock = threading.Lock()
         self._held: dict[str, _Held] = {}
@@ -94,6 +100,7 @@
             visible = any(changed)
             if visible:
                 self.version += 1
+                self.changed_at = now
         if visible:
             self._on_change()
 
@@ -101,6 +108,10 @@
         """Drop the records that are too old."""
         self.offer((), now)
 
+    def settled(self, now: float) -> bool:
+        """Return whether the records are likely complete: none has come for a while."""
+        return now - self.changed_at > SETTLED_AFTER_S
+
     def records(self) -> tuple[AgentRecord, ...]:
         """Return the records, ordered by name."""
         with self._lock:
--- a/lentilcourse/feed.py
+++ b/lentilcourse/feed.py
@@ -12,7 +12,7 @@
 
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.directory import REFRESH_INTERVAL_S, AgentList, Directory
-from lentilcourse.messages import ControllerList, Delta, Freshness, FullState
+from lentilcourse.messages.state import ControllerList, Delta, Freshness, FullState
 from lentilcourse.model import State, StateDelta
 from lentilcourse.streams import Stream
 
--- a/lentilcourse/http_server.py
+++ b/lentilcourse/http_server.py
@@ -15,7 +15,7 @@
 import h11
 
 from lentilcourse.errors import LentilcourseError
-from lentilcourse.messages import Header
+from lentilcourse.messages.base import Header
 from lentilcourse.sockets import is_readable
 
 MAX_HEADER_BYTES: Final = 32 * 1024
--- a/lentilcourse/kernel/lifecycle.py
+++ b/lentilcourse/kernel/lifecycle.py
@@ -7,14 +7,19 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import threading
 from collections.abc import Callable
 from types import FrameType
+from typing import Final
 
 from lentilcourse.kernel.tasks import TaskPool
 from lentilcourse.logs import get_logger
 
+STOP: Final = b"s"
+RELOAD: Final = b"r"
+
 _log = get_logger(__name__)
 
 
@@ -31,6 +36,8 @@
         self.stopped = threading.Event()
         self._drain_steps: list[Callable[[], None]] = []
         self._closers: list[Callable[[], None]] = []
+        self._reload_steps: list[Callable[[], None]] = []
+        self._signals: tuple[int, int] = (-1, -1)
 
     def pool(self, *, name: str, limit: int) -> TaskPool:
         """Create a task pool that closes with the process."""
@@ -47,14 +54,20 @@
         self._closers.append(closer)
 
     def install_signal_handlers(self) -> None:
-        """Stop gracefully on SIGTERM and SIGINT."""
-        signal.signal(signal.SIGTERM, self._on_signal)
-        signal.signal(signal.SIGINT, self._on_signal)
+        """Stop gracefully on SIGTERM and SIGINT, reload on SIGHUP."""
+        self._signals = os.pipe()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, self._on_signal)
+
+    def on_reload(self, step: Callable[[], None]) -> None:
+        """Add a step that takes changed settings in force."""
+        self._reload_steps.append(step)
 
     def run_until_stopped(self) -> None:
         """Block until a stop is asked for, then drain and close."""
-        while not self.stopping.wait(timeout=0.5):
-            pass
+        while os.read(self._signals[0], 1) == RELOAD:
+            self._reload()
+        self.stopping.set()
         _log.info("process_stopping")
         for step in self._drain_steps:
             _run_step(step)
@@ -63,8 +76,14 @@
             _run_step(closer)
         _log.info("process_stopped")
 
+    def _reload(self) -> None:
+        _log.info("process_reloading")
+        for step in self._reload_steps:
+            _run_step(step)
+
     def _on_signal(self, signum: int, frame: FrameType | None) -> None:
-        self.stopping.set()
+        """Pass a signal on to the main task; a handler may not take locks."""
+        os.write(self._signals[1], RELOAD if signum == signal.SIGHUP else STOP)
 
 
 def _run_step(step: Callable[[], None]) -> None:
--- a/lentilcourse/lab/bench/control.py
+++ b/lentilcourse/lab/bench/control.py
@@ -26,7 +26,8 @@
 from lentilcourse.lab.cluster import Cluster
 from lentilcourse.lab.links import LinkBoard
 from lentilcourse.lab.shapes import CLUSTER_KEY, SAMAHAN, Layout, Shape
-from lentilcourse.messages import LogEntry, Report
+from lentilcourse.messages.consensus import LogEntry
+from lentilcourse.messages.state import Report
 from lentilcourse.model import State
 from lentilcourse.options import Address, parse_address
 from lentilcourse.streams import KIND_PROCESS, Identity, start_heartbeats
--- /dev/null
+++ b/lentilcourse/messages/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the system, and with operators."""
--- /dev/null
+++ b/lentilcourse/messages/requests.py
@@ -0,0 +1,188 @@
+"""Messages of requests and idempotency keys, between balancers and agents."""
+
+from __future__ import annotations
+
+import attrs
+
+from lentilcourse.messages.base import Header, message
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """Why work was not done.
+
+    Attributes:
+        refusal_id: identity by which an operator finds the refusal.
+        reason: "owner-limit" or "system".
+        ran: "no" when it provably never ran, else "unknown".
+        entry: entry that was asked for.
+        owner: owner of the entry, for an owner's limit.
+        limit: name of the limit, for an owner's limit.
+        value: value of the limit, for an owner's limit.
+        cause: the system's cause.
+    """
+
+    refusal_id: str
+    reason: str
+    ran: str
+    entry: str
+    owner: str = ""
+    limit: str = ""
+    value: int = 0
+    cause: str = ""
+
+
+@message
+@attrs.frozen(kw_only=True)
+class RequestStart:
+    """A balancer hands a caller's request to an agent.
+
+    Attributes:
+        request_id: unique at the balancer's stream; never used twice.
+        entry_id: entry that the caller asked for.
+        version: state version in force at the balancer.
+        method: HTTP method.
+        path: HTTP request target.
+        headers: end-to-end header fields.
+        body: whole body.
+        timeout_ms: time left until the caller's deadline; 0 for none.
+        idempotency_key: caller's key of a request that must not run twice; may be empty.
+    """
+
+    request_id: str
+    entry_id: int
+    version: int
+    method: bytes
+    path: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    timeout_ms: int
+    idempotency_key: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class RequestCancel:
+    """The caller no longer waits for an answer."""
+
+    request_id: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class RequestCredit:
+    """The balancer has room for more chunks of an answer."""
+
+    request_id: str
+    chunks: int
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AnswerStart:
+    """Status and header fields of an answer."""
+
+    request_id: str
+    status: int
+    headers: tuple[Header, ...]
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AnswerChunk:
+    """A part of an answer's body; the last one is marked."""
+
+    request_id: str
+    data: bytes
+    last: bool
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AnswerCut:
+    """The answer broke off after its start."""
+
+    request_id: str
+    cause: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class AnswerRefused:
+    """The agent refuses a request."""
+
+    request_id: str
+    refusal: Refusal
+
+
+@message
+@attrs.frozen(kw_only=True)
+class LoadEvidence:
+    """What an agent measured of its target, sent with answers.
+
+    Attributes:
+        in_flight: requests that run or wait.
+        capacity: admission limit now.
+        answer_ms: smoothed time of an answer in ms.
+    """
+
+    in_flight: int
+    capacity: int
+    answer_ms: float
+
+
+@message
+@attrs.frozen(kw_only=True)
+class KeyState:
+    """One recorded key, as its owner knows it.
+
+    Attributes:
+        entry_id: entry of the request.
+        key: idempotency key.
+        fingerprint: digest of the request.
+        owner: run of the agent that runs the request, NAME/RUN.
+        ended: whether the outcome is known.
+        start: start of the stored answer.
+        body: body of the stored answer.
+        refusal: refusal that was the outcome.
+        claim_id: set when the owner waits for `ClaimAcknowledged`.
+    """
+
+    entry_id: int
+    key: str
+    fingerprint: bytes
+    owner: str
+    ended: bool
+    start: AnswerStart | None
+    body: bytes | None
+    refusal: Refusal | None
+    claim_id: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class ClaimAcknowledged:
+    """The backup has recorded a key."""
+
+    claim_id: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class ReleaseKey:
+    """The request under a key provably did not run."""
+
+    entry_id: int
+    key: str
+
+
+@message
+@attrs.frozen(kw_only=True)
+class KeysComplete:
+    """The sender has handed over all records that the receiver should hold.
+
+    `lost_ms` is the wall-clock time in ms before which the sender may have lost keys.
+    """
+
+    version: int
+    lost_ms: int
--- a/lentilcourse/operator_client.py
+++ b/lentilcourse/operator_client.py
@@ -19,24 +19,21 @@
     StreamError,
 )
 from lentilcourse.ids import new_id
-from lentilcourse.messages import (
+from lentilcourse.messages.base import Done, Failure
+from lentilcourse.messages.consensus import ChangeReply, Member, Membership
+from lentilcourse.messages.operators import (
     AuditRecord,
     AuditReply,
     AuditRequest,
     BootstrapRequest,
-    ChangeReply,
-    Done,
-    Failure,
-    Member,
-    Membership,
     MembershipRequest,
     ProposeChange,
-    Report,
     StateReply,
     StateRequest,
     StatusReply,
     StatusRequest,
 )
+from lentilcourse.messages.state import Report
 from lentilcourse.model import State
 from lentilcourse.options import Address, Settings
 from lentilcourse.streams import KIND_OPERATOR, Identity, Stream, connect_stream
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -14,7 +14,7 @@
 
 from lentilcourse import error_texts
 from lentilcourse.ids import new_id
-from lentilcourse.messages import Refusal
+from lentilcourse.messages.requests import Refusal
 from lentilcourse.model import Entry
 
 REASON_OWNER_LIMIT: Final = "owner-limit"
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -177,7 +177,7 @@
             self._deliver(packet, envelope)
             return
         if not self._admits(envelope, packet, now):
-            self._pass_on(envelope, packet)
+            self._pass_on(envelope, packet, now)
             return
         self._flows[packet.flow] = FlowRecord(
             state=FlowState.OFFERED,
@@ -212,12 +212,13 @@
             return False
         return True
 
-    def _pass_on(self, envelope: Envelope, packet: FlowPacket) -> None:
+    def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         hops = envelope.hops + 1
         candidates = self._peers.table().serving.get(envelope.service, ())
         peer = next_candidate(packet.flow, self._limits.own, candidates)
         if peer is None or hops > MAX_HOPS:
-            self._refuse(packet, hops)
+            if self._peers.settled(now):
+                self._refuse(packet)
             return
         self.counts.passed_on += 1
         raw = self._format.stamped(packet, 0)
@@ -225,7 +226,7 @@
             encode_envelope(attrs.evolve(envelope, kind=Kind.OPEN, hops=hops), raw), peer.address
         )
 
-    def _refuse(self, packet: FlowPacket, hops: int) -> None:
+    def _refuse(self, packet: FlowPacket) -> None:
         self.counts.refused += 1
         self._send_caller(self._format.reset(packet), packet.flow)
 
@@ -324,7 +325,7 @@
             return
         hops = packet.stamp & HOP_MASK
         if kind == Kind.OPEN and packet.opening:
-            self._pass_on(self._opening_envelope(packet, record, hops), packet)
+            self._pass_on(self._opening_envelope(packet, record, hops), packet, now)
         elif (
             kind == Kind.CARRY and record.state is FlowState.HELD and record.run != self._watch.run
         ):
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -139,7 +139,8 @@
         route = self._routes.find(packet.entry)
         if route is None:
             self.counts.unknown_entry += 1
-            self._refuse(packet)
+            if self._state().catalogue.number > 0:
+                self._refuse(packet)
             return
         if hint is not None and (hint.told or now - hint.placed < RESEND_AFTER_S):
             hint.seen = now
@@ -155,7 +156,8 @@
         peer = choose_peer(peers, self.loads, self._domain, self._rng, now)
         if peer is None:
             self.counts.no_target += 1
-            self._refuse(packet)
+            if self._peers.settled(now):
+                self._refuse(packet)
             return
         self.counts.opened += 1
         self.loads.place(peer.address, now)
--- a/lentilcourse/steering/membership.py
+++ b/lentilcourse/steering/membership.py
@@ -8,7 +8,7 @@
 import attrs
 
 from lentilcourse.directory import AgentNotice, Directory
-from lentilcourse.messages import Report
+from lentilcourse.messages.state import Report
 from lentilcourse.roles import ProcessContext
 from lentilcourse.steering.peers import Peers
 from lentilcourse.streams import KIND_PROCESS, Identity
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -40,6 +40,10 @@
         self._built = (-1, -1)
         self._table = PeerTable()
 
+    def settled(self, now: float) -> bool:
+        """Return whether the table is likely to name every agent."""
+        return self._copy.current.version > 0 and self._directory.settled(now)
+
     def table(self) -> PeerTable:
         """Return the table for the directory and state of now."""
         versions = (self._directory.version, self._copy.current.version)
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -35,7 +35,7 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.kernel.tasks import TaskPool
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import Challenge, Failure, Heartbeat, Hello, Welcome
+from lentilcourse.messages.base import Challenge, Failure, Heartbeat, Hello, Welcome
 from lentilcourse.options import Address
 from lentilcourse.sockets import is_readable
 
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -21,7 +21,7 @@
 from lentilcourse.errors import SettingsError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
-from lentilcourse.messages import (
+from lentilcourse.messages.state import (
     Announcement,
     ControllerList,
     Delta,
