--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -9,7 +9,7 @@
 import json
 import socket
 from collections.abc import Callable
-from typing import Final, TypeAlias
+from typing import TYPE_CHECKING, Final, TypeAlias
 from urllib.parse import parse_qs
 
 import attrs
@@ -20,9 +20,11 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Address
-from lentilcourse.refusals import RefusalCounts
 from lentilcourse.streams import bind_tcp
 
+if TYPE_CHECKING:
+    from lentilcourse.refusals import RefusalCounts
+
 MAX_CONNECTIONS: Final = 32
 
 
--- a/lentilcourse/agent/flow_loop.py
+++ b/lentilcourse/agent/flow_loop.py
@@ -9,9 +9,9 @@
 
 from lentilcourse.agent.flow_plane import FlowPlane
 from lentilcourse.agent.flow_table import Flow
-from lentilcourse.balancer.packet_path import MAX_DATAGRAM_BYTES, SOCKET_BUFFER_BYTES
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.options import Address
+from lentilcourse.sockets import MAX_DATAGRAM_BYTES, SOCKET_BUFFER_BYTES
 
 POLL_S: Final = 0.25
 TICK_S: Final = 0.5
--- a/lentilcourse/balancer/packet_path.py
+++ b/lentilcourse/balancer/packet_path.py
@@ -7,9 +7,6 @@
 
 from __future__ import annotations
 
-import socket
-from typing import Final
-
 import attrs
 from xxhash import xxh3_64_intdigest
 
@@ -26,10 +23,7 @@
 )
 from lentilcourse.refusals import RAN_NO, Cause, RefusalCounts, describe, system_refusal
 from lentilcourse.service_keys import entry_service_key
-
-SOCKET_POLL_S: Final = 0.25
-SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
-MAX_DATAGRAM_BYTES: Final = 65535
+from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
 
 @attrs.define(kw_only=True)
@@ -147,12 +141,3 @@
             self._socket.sendto(datagram, address)
         except OSError:
             return
-
-
-def open_datagram_socket(address: Address) -> socket.socket:
-    """Return a bound UDP socket whose receive call polls the stop signal."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-    sock.bind(address.pair())
-    sock.settimeout(SOCKET_POLL_S)
-    return sock
--- a/lentilcourse/sockets.py
+++ b/lentilcourse/sockets.py
@@ -4,8 +4,14 @@
 
 import select
 import socket
+from typing import Final
 
 from lentilcourse.clocks import MS_PER_S
+from lentilcourse.options import Address
+
+SOCKET_POLL_S: Final = 0.25
+SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
+MAX_DATAGRAM_BYTES: Final = 65535
 
 
 def is_readable(sock: socket.socket, timeout_s: float) -> bool:
@@ -15,3 +21,12 @@
     poll = select.poll()
     poll.register(sock, select.POLLIN)
     return bool(poll.poll(timeout_s * MS_PER_S))
+
+
+def open_datagram_socket(address: Address) -> socket.socket:
+    """Return a bound UDP socket whose receive call polls the stop signal."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.bind(address.pair())
+    sock.settimeout(SOCKET_POLL_S)
+    return sock
--- a/lentilcourse/steering/loops.py
+++ b/lentilcourse/steering/loops.py
@@ -6,12 +6,10 @@
 import time
 from collections.abc import Callable
 
-from lentilcourse.balancer.packet_path import MAX_DATAGRAM_BYTES, open_datagram_socket
 from lentilcourse.errors import PacketError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.options import Address
-
-__all__ = ["DatagramLoop"]
+from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
 Take = Callable[[bytes, float], None]
 
