Test steering, the adapter and group formation without network

Cause: the platform's path had no tests of its own. Change: 37 properties and tables in three modules; a world of balancers, agents and targets in memory with restarts in any order; decisions of the target watch no longer log.

--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,44 @@
+Feature: The platform: steering by targets, controllers by seeds, the adapter
+
+  Scenario Outline: Properties of the platform's path
+    Then the property "<property>" holds
+
+    Examples:
+      | property                                        |
+      | steering.open_flow_keeps_its_target             |
+      | steering.wrong_tries_are_few                    |
+      | steering.nobody_holds_is_reset                  |
+      | steering.no_reset_while_an_agent_is_missing     |
+      | steering.opening_copies_meet_one_target         |
+      | steering.wrong_service_gets_nothing             |
+      | steering.drained_target_gets_no_flow            |
+      | steering.nothing_is_refused_before_all_is_known |
+      | steering.cold_budget_holds                      |
+      | steering.returned_domain_is_cold                |
+      | steering.last_run_is_believed                   |
+      | steering.silent_target_is_not_believed          |
+      | steering.left_run_does_not_return               |
+      | steering.silent_agent_is_avoided                |
+      | steering.long_flows_on_unequal_targets          |
+      | steering.load_follows_requests                  |
+      | steering.newest_record_stays                    |
+      | steering.planned_end_is_no_loss                 |
+      | platform.samples_of_the_page                    |
+      | platform.packets_round_trip                     |
+      | platform.reset_is_inside_the_window             |
+      | platform.foreign_packets_are_refused            |
+      | platform.unknown_flags_are_refused              |
+      | platform.document_is_decoded                    |
+      | platform.invalid_documents_are_refused          |
+      | platform.foreign_documents_are_refused          |
+      | platform.heartbeat_is_decoded                   |
+      | platform.foreign_heartbeats_are_refused         |
+      | formation.due_change                            |
+      | formation.quorum_is_never_reduced               |
+      | formation.repair_ends                           |
+      | formation.first_leader_comes_at_once            |
+      | formation.read_needs_a_quorum                   |
+      | formation.highest_number_is_in_force            |
+      | formation.domain_without_listed_targets         |
+      | formation.batches_are_bounded                   |
+      | formation.only_the_meant_replica_answers        |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -6,7 +6,18 @@
 
 PROPERTIES = {}
 
-MODULES = ("packets", "catalogue", "flows", "admission", "requests", "consensus", "streams")
+MODULES = (
+    "packets",
+    "catalogue",
+    "flows",
+    "admission",
+    "requests",
+    "consensus",
+    "streams",
+    "steering",
+    "platform",
+    "formation",
+)
 
 
 def prop(name):
--- /dev/null
+++ b/features/properties/steering.py
@@ -0,0 +1,340 @@
+"""Properties of steering: owners of flows, resets, targets that announce themselves, placement."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import attrs
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lentilcourse.directory import (
+    RECORD_LIFE_S,
+    SETTLED_AFTER_S,
+    STATE_GONE,
+    AgentNotice,
+    AgentRecord,
+    Directory,
+)
+from lentilcourse.options import Address
+from lentilcourse.platform.packets import FLAG_SYN
+from lentilcourse.steering.load_meter import LoadMeter
+from lentilcourse.steering.peers import Peer
+from lentilcourse.steering.placement import (
+    AVOIDED_FOR_S,
+    SILENT_AFTER_S,
+    AgentLoads,
+    choose_peer,
+)
+from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
+from properties import prop
+from properties.steering_world import (
+    FLOW_LIFE_S,
+    SteeringWorld,
+    caller,
+    catalogue,
+    packet,
+)
+
+HERE = Address(host="10.0.0.9", port=2)
+
+
+def report(born=1, sequence=1, target_id="t", **changes):
+    """Return an announcement."""
+    known = TargetReport(
+        target_id=target_id,
+        born_ms=born,
+        sequence=sequence,
+        service="board",
+        address=HERE,
+        slots=1,
+        draining=False,
+        cold_s=0.0,
+    )
+    return attrs.evolve(known, **changes)
+
+
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(["open", "talk", "restart-balancer", "restart-agent"]),
+        st.integers(0, 7),
+        st.integers(1, 3),
+    ),
+    min_size=4,
+    max_size=40,
+)
+
+
+@prop("steering.open_flow_keeps_its_target")
+@given(steps, st.integers(0, 1000))
+def check_owner(plan, seed):
+    """Whatever restarts, a packet of an open flow reaches its target, and no reset is sent."""
+    world = SteeringWorld(agents=4, balancers=3, seed=seed)
+    opened = {}
+    for what, number, which in plan:
+        if what == "open" and number not in opened:
+            opened[number] = world.open_flow(number, f"b{which}")
+            assert opened[number] is not None
+        elif what == "talk" and number in opened:
+            before = len(opened[number].took)
+            world.talk(number, f"b{which}")
+            assert len(opened[number].took) > before
+        elif what == "restart-balancer":
+            world.start_balancer(f"b{which}")
+        elif what == "restart-agent":
+            world.start_agent(f"a{which}")
+    assert world.resets() == []
+
+
+@prop("steering.wrong_tries_are_few")
+@given(st.integers(0, 1000))
+def check_tries(seed):
+    """A balancer that has forgotten a flow finds its target without a try at another."""
+    world = SteeringWorld(agents=5, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.pass_time(FLOW_LIFE_S + 1)
+    world.talk(1, "b2")
+    assert all(not target.wrong for target in world.targets.values())
+    assert len(holder.took) == 2
+
+
+@prop("steering.nobody_holds_is_reset")
+@given(st.integers(0, 1000), st.booleans())
+def check_reset(seed, known):
+    """A flow whose target has restarted is reset at once, by a balancer that knew it or not."""
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.restart_target(holder.agent)
+    world.resets()
+    world.talk(1, "b1" if known else "b2")
+    (reset,) = world.resets()
+    assert reset[4:8] == (5).to_bytes(4, "big")
+    assert reset[22:28] == packet(b"\0" * 6, 0)[28:34] and reset[28:34] == caller(1)
+
+
+@prop("steering.no_reset_while_an_agent_is_missing")
+@given(st.integers(0, 1000))
+def check_no_reset(seed):
+    """A flow is not given up while an agent that may hold it is silent."""
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.down.add(holder.agent)
+    world.pass_time(RECORD_LIFE_S + SETTLED_AFTER_S + 2)
+    for name in world.directories:
+        world.directories[name].expire(world.now)
+    world.talk(1, "b2")
+    assert world.resets() == []
+    world.down.clear()
+    world.pass_time(2)
+    world.talk(1, "b2")
+    assert len(holder.took) == 2
+
+
+@prop("steering.opening_copies_meet_one_target")
+@given(st.integers(0, 1000))
+def check_copies(seed):
+    """Copies of an opening packet reach the target that took the first."""
+    world = SteeringWorld(agents=4, balancers=1, seed=seed)
+    for number in range(5):
+        world.open_flow(number)
+        world.send("b1", packet(caller(number), FLAG_SYN, ack=1))
+    holders = Counter(flow for target in world.targets.values() for flow in target.flows)
+    assert set(holders.values()) == {1}
+
+
+@prop("steering.wrong_service_gets_nothing")
+@given(st.integers(0, 1000), st.booleans())
+def check_service(seed, balancer_lags):
+    """A target whose service no longer has the entry takes no new flow of it."""
+    world = SteeringWorld(agents=3, balancers=1, seed=seed)
+    newer = attrs.evolve(world.state, catalogue=catalogue(number=2, service="other"))
+    if balancer_lags:
+        old = world.state
+        world.balancers["b1"]._state = lambda: old
+        world.balancers["b1"]._routes._catalogue = lambda: old.catalogue
+    world.state = newer
+    assert world.open_flow(1) is None
+
+
+@prop("steering.drained_target_gets_no_flow")
+@given(st.integers(0, 1000))
+def check_drain(seed):
+    """A target that has said it is draining takes no new flow, whatever balancers know."""
+    world = SteeringWorld(agents=3, balancers=1, seed=seed)
+    world.announce("a1", draining=True)
+    holders = {world.open_flow(number).agent for number in range(12)}
+    assert "a1" not in holders
+
+
+@prop("steering.nothing_is_refused_before_all_is_known")
+def check_young():
+    """A balancer that has just started drops what it can't place, and refuses it later."""
+    world = SteeringWorld(agents=1, balancers=1)
+    world.announce("a1", draining=True)
+    world.start_balancer("b1")
+    world.start_agent("a1")
+    world.announce("a1", draining=True)
+    world.open_flow(1)
+    assert world.resets() == []
+    world.pass_time(SETTLED_AFTER_S + 1)
+    world.open_flow(2)
+    assert len(world.resets()) == 1
+
+
+@prop("steering.cold_budget_holds")
+@given(st.lists(st.floats(0.0, 0.4), max_size=80), st.integers(1, 20))
+def check_cold(pauses, limit):
+    """In no second does a cold target take more openings than it bears."""
+    watch = TargetWatch(address=HERE, life_s=1e9)
+    watch.offer(report(cold_s=1e6), 0.0)
+    now, taken = 0.0, []
+    for pause in pauses:
+        now += pause
+        if watch.take_opening(limit, now):
+            taken.append(now)
+    for start in taken:
+        assert sum(start <= each <= start + 1.0 for each in taken) <= limit
+
+
+@prop("steering.returned_domain_is_cold")
+def check_return():
+    """A target counts as cold from its domain's return until it says how cold it is."""
+    watch = TargetWatch(address=HERE, life_s=2.0)
+    watch.offer(report(sequence=1), 0.0)
+    assert not watch.cold(0.1)
+    watch.domain_returned()
+    assert watch.cold(0.2)
+    watch.offer(report(sequence=2), 0.3)
+    assert not watch.cold(0.4)
+
+
+@prop("steering.last_run_is_believed")
+@given(st.permutations([(run, sequence) for run in (1, 2, 3) for sequence in (1, 2, 3)]))
+def check_runs(order):
+    """Announcements in any order leave the last announcement of the last run in force."""
+    watch = TargetWatch(address=HERE, life_s=2.0)
+    for run, sequence in order:
+        watch.offer(report(born=run, sequence=sequence), 0.0)
+    assert (watch.report.born_ms, watch.report.sequence) == (3, 3)
+
+
+@prop("steering.silent_target_is_not_believed")
+@given(st.floats(2.01, 100.0))
+def check_silence(pause):
+    """A target that fell silent gets no new flow: its address may be another's by now."""
+    watch = TargetWatch(address=HERE, life_s=2.0)
+    watch.offer(report(), 0.0)
+    assert watch.takes_new(1.9)
+    assert not watch.takes_new(pause)
+    assert watch.offer(report(sequence=1), pause) is Verdict.OUTDATED
+
+
+@prop("steering.left_run_does_not_return")
+def check_left():
+    """A late announcement of a run that has left does not bring it back."""
+    watch = TargetWatch(address=HERE, life_s=2.0)
+    watch.offer(report(sequence=5), 0.0)
+    assert not watch.leave("another")
+    assert watch.leave("t")
+    assert watch.offer(report(sequence=6), 0.1) is Verdict.OUTDATED
+    assert watch.offer(report(born=2, sequence=1), 0.2) is Verdict.NEW_RUN
+
+
+def peer(number, domain="d0", slots=1):
+    """Return an agent."""
+    return Peer(name=f"a{number}", address=(f"10.0.0.{number}", 1), domain=domain, slots=slots)
+
+
+@prop("steering.silent_agent_is_avoided")
+def check_silent_agent():
+    """An agent that leaves offers unanswered gets none for a while, then one more chance."""
+    loads, peers, rng = AgentLoads(), (peer(1), peer(2)), random.Random(1)
+    loads.place(peers[0].address, 0.0)
+    later = SILENT_AFTER_S + 0.1
+    assert {choose_peer(peers, loads, "d0", rng, later).name for _ in range(20)} == {"a2"}
+    loads.hear(peers[0].address, 0.0, later + 0.1)
+    assert {choose_peer(peers, loads, "d0", rng, later + 0.2).name for _ in range(20)} == {
+        "a1",
+        "a2",
+    }
+    loads.place(peers[0].address, later + 1.0)
+    again = later + 1.0 + SILENT_AFTER_S + AVOIDED_FOR_S + 0.2
+    loads.avoided(peers[0].address, later + 1.1 + SILENT_AFTER_S)
+    assert not loads.avoided(peers[0].address, again)
+
+
+def utilisation(choose, speeds, seed):
+    """Return busiest over mean utilisation of long flows on targets of unequal speed.
+
+    Each flow asks for the same work; a target's load is its flows over its speed.
+    """
+    rng = random.Random(seed)
+    peers = tuple(peer(number) for number in range(len(speeds)))
+    flows = [0] * len(speeds)
+    loads = AgentLoads()
+    for number in range(140):
+        now = number * 0.05
+        if number % 5 == 0:
+            for index, each in enumerate(peers):
+                loads.hear(each.address, 0.04 * flows[index] / speeds[index], now)
+        chosen = choose(peers, loads, rng, now)
+        flows[peers.index(chosen)] += 1
+        loads.place(chosen.address, now)
+    busy = [count / speed for count, speed in zip(flows, speeds, strict=True)]
+    return max(busy) / (sum(busy) / len(busy))
+
+
+@prop("steering.long_flows_on_unequal_targets")
+def check_imbalance():
+    """Long flows spread by load: the busiest of unequal targets stays nearer to the mean."""
+    speeds = (0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0)
+    ours, at_random = [], []
+    for seed in range(20):
+        ours.append(utilisation(lambda p, w, r, now: choose_peer(p, w, "d0", r, now), speeds, seed))
+        at_random.append(utilisation(lambda p, w, r, now: r.choice(p), speeds, seed))
+    mean_ours, mean_random = sum(ours) / len(ours), sum(at_random) / len(at_random)
+    assert mean_ours < 1.25 < mean_random
+
+
+@prop("steering.load_follows_requests")
+@given(st.integers(1, 6))
+def check_meter(in_flight):
+    """A constant number of requests in flight is the load after a while."""
+    meter = LoadMeter(now=0.0)
+    meter.change(in_flight, 0.0)
+    for tick in range(1, 40):
+        load = meter.load(2, tick * 0.25)
+    assert abs(load - in_flight / 2) < 0.05 * in_flight
+
+
+def record(name="a1", state="serving"):
+    """Return a record of an agent."""
+    address = Address(host="10.0.0.1", port=1)
+    return AgentRecord(
+        name=name, address=address, service="board", domain="d", state=state, slots=1
+    )
+
+
+@prop("steering.newest_record_stays")
+@given(st.permutations([0, 300, 900, 2000]))
+def check_directory(ages):
+    """Records that arrive by several ways leave the newest in force."""
+    directory = Directory()
+    for age in ages:
+        notice = AgentNotice(record=record(state=f"s{age}"), age_ms=age)
+        directory.offer((notice,), 10.0)
+    assert [each.state for each in directory.records()] == ["s0"]
+    directory.expire(10.1 + RECORD_LIFE_S)
+    assert directory.records() == () and directory.lost_at == 10.1 + RECORD_LIFE_S
+
+
+@prop("steering.planned_end_is_no_loss")
+def check_gone():
+    """An agent that ends as planned leaves the records without counting as lost."""
+    directory = Directory()
+    directory.offer((AgentNotice(record=record()),), 0.0)
+    directory.offer((AgentNotice(record=record(state=STATE_GONE)),), 1.0)
+    assert directory.records() == ()
+    directory.expire(2.0 + RECORD_LIFE_S)
+    assert directory.lost_at == float("-inf")
--- /dev/null
+++ b/features/properties/steering_world.py
@@ -0,0 +1,268 @@
+"""Balancers, agents and targets of one service in memory, joined by a queue of datagrams.
+
+Targets behave as the platform says: they take flows, hold them, and give back packets of
+flows that they do not hold.
+"""
+
+from __future__ import annotations
+
+import random
+import struct
+from collections import deque
+
+import attrs
+
+from lentilcourse.catalogue import Catalogue, PublishedEntry, ServicePolicy, WeightedService
+from lentilcourse.directory import STATE_SERVING, AgentNotice, AgentRecord, Directory
+from lentilcourse.model import State
+from lentilcourse.options import Address
+from lentilcourse.platform.packets import (
+    FLAG_ACK,
+    FLAG_BOUNCED,
+    FLAG_RST,
+    FLAG_SYN,
+    PlatformPackets,
+)
+from lentilcourse.steering.agent_flows import AgentFlows, AgentLimits, AgentOutputs
+from lentilcourse.steering.balancer_flows import BalancerFlows
+from lentilcourse.steering.datagrams import Kind, decode_kind, pack_address
+from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.target_watch import TargetReport, TargetWatch
+from lentilcourse.subscription import StateCopy
+
+HEAD = struct.Struct(">IIIB3xHI6s6s")
+ENTRY = Address(host="198.18.0.1", port=443)
+CALLER_PORT = 9000
+FLOW_LIFE_S = 60.0
+STEP_S = 0.001
+
+
+def packet(caller, flags, data=b"", ack=0, entry=ENTRY):
+    """Return a packet of a caller (6 bytes) to an entry."""
+    head = HEAD.pack(7, 1, ack, flags, len(data), 0, caller, pack_address(entry))
+    return head + data
+
+
+def caller(number):
+    """Return the packed address of a caller."""
+    return bytes((100, 64, number >> 8, number & 255)) + (40_000).to_bytes(2, "big")
+
+
+def catalogue(number=1, service="board", cold_rate=0.0):
+    """Return a catalogue with one entry."""
+    entry = PublishedEntry(
+        name="price-board",
+        address=ENTRY,
+        services=(WeightedService(service=service, weight=1),),
+        rank=0,
+        repeatable=True,
+    )
+    policy = ServicePolicy(name=service, connections=2000, cold_start_s=2.0, cold_rate=cold_rate)
+    return Catalogue(number=number, document=b"{}", entries=(entry,), services=(policy,))
+
+
+@attrs.define(kw_only=True)
+class FakeTarget:
+    """A target: the flows that it holds, and the packets that reached it."""
+
+    agent: str
+    flows: set = attrs.field(factory=set)
+    took: list = attrs.field(factory=list)
+    wrong: list = attrs.field(factory=list)
+
+
+class SteeringWorld:
+    """Names are "a1".. for agents and "b1".. for balancers."""
+
+    def __init__(self, agents=3, balancers=2, seed=1, service="board", cold_rate=0.0):
+        self.now = 100.0
+        self.format = PlatformPackets()
+        self.rng = random.Random(seed)
+        self.queue = deque()
+        self.to_callers = []
+        self.down = set()
+        self.state = State(version=1, catalogue=catalogue(service=service, cold_rate=cold_rate))
+        self.agents = {}
+        self.balancers = {}
+        self.targets = {}
+        self.watches = {}
+        self.directories = {}
+        self.sequence = 0
+        self.records = {}
+        for number in range(1, agents + 1):
+            name = f"a{number}"
+            self.records[name] = AgentRecord(
+                name=name,
+                address=Address(host=f"10.0.0.{number}", port=1),
+                service=service,
+                domain=f"d{number % 3}",
+                state=STATE_SERVING,
+                slots=1,
+            )
+            self.targets[name] = FakeTarget(agent=name)
+            self.start_agent(name)
+        for number in range(1, balancers + 1):
+            self.start_balancer(f"b{number}")
+        self.pass_time(2.0)
+
+    # Processes.
+
+    def start_agent(self, name):
+        """Start an agent without memory; its target announces itself."""
+        self.watches[name] = TargetWatch(address=Address(host="10.0.0.9", port=2), life_s=1e9)
+        limits = AgentLimits(
+            cold_overrun=1.5,
+            cold_slack=5,
+            flow_life_s=FLOW_LIFE_S,
+            domain=self.records[name].domain,
+            own=self.records[name].address.pair(),
+            target=("target", 0),
+            caller_port=CALLER_PORT,
+        )
+        outputs = AgentOutputs(
+            to_peer=self._send_peer, to_outside=lambda raw, to: self._send_outside(name, raw, to)
+        )
+        self.agents[name] = AgentFlows(
+            packet_format=self.format,
+            watch=self.watches[name],
+            peers=self._new_peers(name),
+            state=lambda: self.state,
+            limits=limits,
+            outputs=outputs,
+            now=self.now,
+        )
+        self.announce(name)
+
+    def start_balancer(self, name):
+        """Start a balancer without memory."""
+        self.balancers[name] = BalancerFlows(
+            packet_format=self.format,
+            peers=self._new_peers(name),
+            state=lambda: self.state,
+            own=(f"10.1.0.{name[1:]}", 1),
+            domain="d0",
+            to_peer=self._send_peer,
+            to_caller=lambda raw, to: self.to_callers.append(raw),
+            caller_port=CALLER_PORT,
+            flow_life_s=FLOW_LIFE_S,
+            rng=self.rng,
+        )
+
+    def restart_target(self, name):
+        """Let a target lose its flows and start a new run."""
+        self.targets[name].flows.clear()
+        self.announce(name, born=int(self.now * 1000))
+
+    def announce(self, name, born=1, draining=False, cold_s=0.0):
+        """Let a target announce itself."""
+        self.sequence += 1
+        report = TargetReport(
+            target_id=name,
+            born_ms=born,
+            sequence=self.sequence,
+            service=self.records[name].service,
+            address=Address(host="10.0.0.9", port=2),
+            slots=1,
+            draining=draining,
+            cold_s=cold_s,
+        )
+        return self.watches[name].offer(report, self.now)
+
+    def _new_peers(self, name):
+        directory = self.directories[name] = Directory()
+        copy = StateCopy()
+        copy.current = self.state
+        self.tell(name)
+        return Peers(directory=directory, copy=copy)
+
+    def tell(self, name):
+        """Let a process hear of all agents that are up."""
+        up = [record for key, record in self.records.items() if key not in self.down]
+        notices = tuple(AgentNotice(record=record) for record in up)
+        self.directories[name].offer(notices, self.now)
+
+    # Packets.
+
+    def send(self, balancer, raw):
+        """Hand a caller's packet to a balancer and let everything settle."""
+        self.now += STEP_S
+        self.balancers[balancer].on_caller(raw, self.now)
+        self.settle()
+
+    def open_flow(self, number, balancer="b1"):
+        """Open a flow; returns the target that holds it, None if it was refused."""
+        who = caller(number)
+        self.send(balancer, packet(who, FLAG_SYN))
+        return self.holder(number)
+
+    def talk(self, number, balancer="b1"):
+        """Send data on a flow."""
+        self.send(balancer, packet(caller(number), FLAG_ACK, b"GET", ack=5))
+
+    def holder(self, number):
+        """Return the target that holds a flow."""
+        flow = caller(number) + pack_address(ENTRY)
+        return next((each for each in self.targets.values() if flow in each.flows), None)
+
+    def resets(self):
+        """Return the resets that callers got, and forget them."""
+        found = [raw for raw in self.to_callers if raw[12] & FLAG_RST]
+        self.to_callers.clear()
+        return found
+
+    def pass_time(self, seconds):
+        """Let time pass, with directories refreshed."""
+        for _ in range(max(1, int(seconds))):
+            self.now += min(1.0, seconds)
+            for name in self.directories:
+                self.tell(name)
+
+    def settle(self):
+        """Deliver all datagrams in flight."""
+        while self.queue:
+            datagram, to = self.queue.popleft()
+            self._deliver(datagram, to)
+
+    def _deliver(self, datagram, to):
+        self.now += STEP_S / 10
+        if to[0].startswith("target-"):
+            name = to[0].removeprefix("target-")
+            if name not in self.down:
+                self.agents[name].on_target(datagram, self.now)
+            return
+        if to[0].startswith("10.1."):
+            name = f"b{to[0].rsplit('.', 1)[1]}"
+            if decode_kind(datagram) in (Kind.OWNER, Kind.LOAD, Kind.DENIAL):
+                self.balancers[name].on_notice(datagram, self.now)
+            return
+        name = f"a{to[0].rsplit('.', 1)[1]}"
+        if name in self.agents and name not in self.down:
+            self.agents[name].on_peer(datagram, self.now)
+
+    def _send_peer(self, datagram, to):
+        self.queue.append((datagram, to))
+
+    def _send_outside(self, name, raw, to):
+        if to == ("target", 0):
+            self._reach_target(name, raw)
+        else:
+            self.to_callers.append(raw)
+
+    def _reach_target(self, name, raw):
+        target = self.targets[name]
+        flow = raw[22:34]
+        flags = raw[12]
+        target.took.append(raw)
+        if flags & FLAG_SYN:
+            target.flows.add(flow)
+            self._answer(name, flow, FLAG_SYN | FLAG_ACK, b"")
+        elif flow in target.flows:
+            self._answer(name, flow, FLAG_ACK, b"OK")
+        else:
+            target.wrong.append(flow)
+            returned = raw[:12] + bytes((flags | FLAG_BOUNCED,)) + raw[13:]
+            self.queue.append((returned, (f"target-{name}", 0)))
+
+    def _answer(self, name, flow, flags, data):
+        head = HEAD.pack(7, 1, 1, flags, len(data), 0, flow[6:], flow[:6])
+        self.queue.append((head + data, (f"target-{name}", 0)))
--- a/lentilcourse/platform/target_calls.py
+++ b/lentilcourse/platform/target_calls.py
@@ -60,17 +60,13 @@
         except MalformedCallError as exc:
             _log.info("heartbeat_refused", error=str(exc))
             return AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode())
-        verdict = self._edge.watch.offer(report, time.monotonic())
-        if verdict is Verdict.FOREIGN:
-            _log.info("heartbeat_refused", error="address of another target")
+        if self._edge.announce(report, time.monotonic()) is Verdict.FOREIGN:
             return AdminAnswer(status=400, body=b'{"error": "address of another target"}')
-        self._edge.changed()
         return ACKNOWLEDGED
 
     def delete_instance(self, req: HttpRequest) -> AdminAnswer:
         """DELETE /instances/ID: the server is gone."""
-        self._edge.watch.leave(_target_id(req))
-        self._edge.changed()
+        self._edge.leave(_target_id(req), time.monotonic())
         return ACKNOWLEDGED
 
 
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -4,9 +4,7 @@
 
 import time
 from collections.abc import Callable
-from typing import Final, TypeAlias
-
-import attrs
+from typing import Final, Protocol, TypeAlias
 
 from lentilcourse.admin import AdminServer
 from lentilcourse.directory import (
@@ -18,6 +16,7 @@
     AgentRecord,
 )
 from lentilcourse.kernel.registry import Registry
+from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.options import SteeringAgentSettings
 from lentilcourse.plugins import load_plugin
@@ -26,24 +25,23 @@
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import Following, follow
 from lentilcourse.steering.packet_format import PACKET_FORMATS
-from lentilcourse.steering.target_watch import TargetWatch
+from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 
 UPKEEP_INTERVAL_S: Final = 0.25
 """Interval of load notices; also the longest delay with which a silent target is noticed."""
 SWEEPS_EVERY: Final = 4
 
+_log = get_logger(__name__)
+
 
-@attrs.frozen(kw_only=True)
-class TargetEdge:
-    """What a target interface plug-in works on.
+class TargetEdge(Protocol):
+    """What a target interface plug-in works on."""
 
-    Attributes:
-        watch: takes announcements and leaves.
-        changed: to be called after one that may change what the agent says of itself.
-    """
+    def announce(self, report: TargetReport, now: float) -> Verdict:
+        """Take an announcement of the target."""
 
-    watch: TargetWatch
-    changed: Callable[[], None]
+    def leave(self, target_id: str, now: float) -> None:
+        """Take the target's word that it is gone."""
 
 
 TargetInterface: TypeAlias = Callable[[TargetEdge, AdminServer], None]
@@ -106,12 +104,36 @@
             )
         )
 
-    def target_changed(self) -> None:
+    def announce(self, report: TargetReport, now: float) -> Verdict:
+        """Take an announcement of the target."""
+        verdict = self.watch.offer(report, now)
+        if verdict is not Verdict.RENEWED:
+            _log.info(
+                "target_announced",
+                target=report.target_id,
+                verdict=verdict.value,
+                service=report.service,
+                born=report.born_ms,
+                sequence=report.sequence,
+                cold_s=report.cold_s,
+            )
+        self._tell_target_state(now)
+        return verdict
+
+    def leave(self, target_id: str, now: float) -> None:
+        """Take the target's word that it is gone."""
+        left = self.watch.leave(target_id)
+        _log.info("target_left", target=target_id, current=left)
+        self._tell_target_state(now)
+
+    def _tell_target_state(self, now: float) -> None:
         """Tell the controller at once when the state of the target has changed."""
-        state = self._target_state(time.monotonic())
-        if state != self._told_state:
-            self._told_state = state
-            self.following.subscription.send_report()
+        state = self._target_state(now)
+        if state == self._told_state:
+            return
+        _log.info("target_state", before=self._told_state, after=state)
+        self._told_state = state
+        self.following.subscription.send_report()
 
     def malformed(self) -> int:
         """Return the datagrams that could not be read."""
@@ -137,7 +159,7 @@
         while not self._lifecycle.stopped.wait(timeout=UPKEEP_INTERVAL_S):
             now = time.monotonic()
             self.flows.tell_load(now)
-            self.target_changed()
+            self._tell_target_state(now)
             turn += 1
             if turn % SWEEPS_EVERY == 0:
                 self.flows.sweep(now)
@@ -153,8 +175,7 @@
     load_plugin(cfg.target_interface)
     agent = SteeringAgent(context=context, cfg=cfg)
     server = AdminServer(address=cfg.announce_address, lifecycle=context.lifecycle)
-    edge = TargetEdge(watch=agent.watch, changed=agent.target_changed)
-    TARGET_INTERFACES.get(cfg.target_interface)(edge, server)
+    TARGET_INTERFACES.get(cfg.target_interface)(agent, server)
     server.start()
     metrics = context.metrics
     metrics.counters_of("lentilcourse.steering", agent.flows.counts)
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -10,15 +10,13 @@
 
 import enum
 from collections import deque
+from typing import Final
 
 import attrs
 
-from lentilcourse.logs import get_logger
 from lentilcourse.options import Address
 
-COLD_WINDOW_S = 1.0
-
-_log = get_logger(__name__)
+COLD_WINDOW_S: Final = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -84,11 +82,6 @@
         same = current is not None and _run_of(current) == _run_of(report)
         if not same:
             self.run += 1
-            _log.info(
-                "target_run", target=report.target_id, service=report.service, born=report.born_ms
-            )
-        elif current is not None and current.draining != report.draining:
-            _log.info("target_state", target=report.target_id, draining=report.draining)
         self.report = report
         self._heard = now
         self._cold_until = now + report.cold_s
@@ -102,7 +95,6 @@
             return False
         self._left.add(_run_of(current))
         self.report = None
-        _log.info("target_left", target=target_id)
         return True
 
     def domain_returned(self) -> None:
