Write logs by a task of their own, with bounded rates; import log and HTTP libraries late

Change: lines on standard output through a bounded queue and a writer task, a token bucket for each kind of event; late imports; the directory counts as settled after 0.5 s.

--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -2,6 +2,9 @@
 
 GET /metrics returns Prometheus' text format, GET /healthz returns 200 while the process
 takes new work. An agent adds the routes on which its target announces itself.
+
+The HTTP library is imported by the first connection: small VMs pay for each import at each
+restart, and packets need none of it.
 """
 
 from __future__ import annotations
@@ -13,16 +16,15 @@
 from urllib.parse import parse_qs
 
 import attrs
-import h11
 
 from lentilcourse.errors import LentilcourseError, PoolFullError
-from lentilcourse.http_server import HttpRequest, HttpRequestError, HttpServerConnection
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Address
 from lentilcourse.streams import bind_tcp
 
 if TYPE_CHECKING:
+    from lentilcourse.http_server import HttpRequest
     from lentilcourse.refusals import RefusalCounts
 
 MAX_CONNECTIONS: Final = 32
@@ -37,7 +39,7 @@
     body: bytes = b""
 
 
-AdminRoute: TypeAlias = Callable[[HttpRequest], AdminAnswer]
+AdminRoute: TypeAlias = "Callable[[HttpRequest], AdminAnswer]"
 
 
 class AdminServer:
@@ -109,32 +111,20 @@
             sock.close()
 
     def _serve(self, sock: socket.socket) -> None:
-        conn = HttpServerConnection(sock=sock)
-        try:
-            while conn.wait_for_request(lambda: not self._lifecycle.stopped.is_set()):
-                req = conn.read_request()
-                if req is None:
-                    return
-                self._answer(conn, req)
-                if not conn.reuse():
-                    return
-        except HttpRequestError as exc:
-            _send(conn, AdminAnswer(status=exc.status, body=str(exc).encode()))
-        except (OSError, h11.ProtocolError):
-            return
-        finally:
-            conn.close()
+        from lentilcourse.admin_connection import serve_connection  # noqa: PLC0415
+
+        serve_connection(sock, self.answer, lambda: not self._lifecycle.stopped.is_set())
 
-    def _answer(self, conn: HttpServerConnection, req: HttpRequest) -> None:
+    def answer(self, req: HttpRequest) -> AdminAnswer:
+        """Return the answer to a request."""
         path = req.target.partition(b"?")[0]
         route = self._find_route(req.method, path)
         if route is None:
-            _send(conn, AdminAnswer(status=404, body=b'{"error": "no such route"}'))
-            return
+            return AdminAnswer(status=404, body=b'{"error": "no such route"}')
         try:
-            _send(conn, route(req))
+            return route(req)
         except LentilcourseError as exc:
-            _send(conn, AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode()))
+            return AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode())
 
     def _find_route(self, method: bytes, path: bytes) -> AdminRoute | None:
         exact = self._routes.get((method, path))
@@ -151,9 +141,3 @@
         if not all(check() for check in self._ready_checks):
             return AdminAnswer(status=503, body=b'{"state": "starting"}')
         return AdminAnswer(body=b'{"state": "serving"}')
-
-
-def _send(conn: HttpServerConnection, answer: AdminAnswer) -> None:
-    if conn.can_respond():
-        headers = [(b"content-type", answer.content_type.encode())]
-        conn.respond(answer.status, headers, answer.body)
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -11,7 +11,7 @@
 from lentilcourse.admin import AdminServer
 from lentilcourse.errors import LentilcourseError, SettingsError
 from lentilcourse.kernel.lifecycle import Lifecycle
-from lentilcourse.logs import configure_logging, get_logger
+from lentilcourse.logs import configure_logging, flush_logs, get_logger, lines_dropped
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Settings, load_settings
 from lentilcourse.plugins import load_plugin
@@ -53,6 +53,7 @@
         admin = AdminServer(address=cfg.process.admin_address, lifecycle=lifecycle)
         admin.add_metrics(metrics)
         context = ProcessContext(settings=cfg, lifecycle=lifecycle, metrics=metrics, admin=admin)
+        metrics.counter("lentilcourse.log_lines.dropped", lines_dropped)
         start_heartbeats(lifecycle)
         metrics.counters_of("lentilcourse.stream_bytes", TRAFFIC)
         ROLE_PLUGINS.get(cfg.process.role)(context)
@@ -61,8 +62,8 @@
         _log.error("start_failed", error=str(exc))
         lifecycle.stopped.set()
         return EXIT_FAILED
-    _log.info("process_started", settings=cfg.file)
     lifecycle.run_until_stopped()
+    flush_logs()
     return 0
 
 
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -23,9 +23,9 @@
 REFRESH_INTERVAL_S: Final = 2.0
 """Longest pause between two lists to one subscriber."""
 
-SETTLED_AFTER_S: Final = 1.0
-"""Time without a new agent after which the records are taken for complete: agents report every
-0.4 s, and controllers relay at once."""
+SETTLED_AFTER_S: Final = 0.5
+"""Time without a new agent after which the records are taken for complete: agents report when
+they connect and every 0.4 s, and controllers relay within 0.1 s."""
 
 STATE_SERVING: Final = "serving"
 STATE_DRAINING: Final = "draining"
--- a/lentilcourse/logs.py
+++ b/lentilcourse/logs.py
@@ -1,48 +1,221 @@
 """Structured logging.
 
-Counters carry what happens often (`metrics`); a log line is written only when a state
-changes. Lines are JSON objects on standard error, one an event.
+Counters carry what happens often (`metrics`); a line is written for each decision that changes
+what the process believes, and for refused work. Lines are JSON objects on standard output, one
+an event. Each kind of event has a bounded rate; a line says how many of its kind were left out
+before it. Lines are handed to a task that writes them, so that a reader that does not read
+never holds up work.
+
+The log library is imported by the first line that is written, because small VMs pay for each
+import at each restart.
 """
 
 from __future__ import annotations
 
 import logging
 import sys
-from typing import cast
+import threading
+import time
+from collections import deque
+from typing import Any, Final, TextIO
+
+import attrs
+
+LINES_PER_S: Final = 20.0
+"""Steady rate of lines of one kind of event."""
+LINES_BURST: Final = 100.0
+"""Lines of one kind that may be written at once."""
+MAX_WAITING_LINES: Final = 2000
+"""Lines that wait for a reader; later ones are dropped and counted."""
+FLUSH_S: Final = 0.5
+"""Time for which the end of the process waits for the last lines."""
+
+
+@attrs.define(kw_only=True)
+class _Output:
+    """Where lines go, and what every line of this process carries."""
+
+    process: str = ""
+    role: str = ""
+    level: int = logging.INFO
+    stream: TextIO = attrs.field(factory=lambda: sys.stdout)
+    configured: bool = False
+
+
+_output = _Output()
+
+
+@attrs.define(kw_only=True)
+class EventRate:
+    """Token bucket of one kind of event.
+
+    Attributes:
+        tokens: lines that may be written now.
+        filled: when the tokens were last filled (monotonic seconds).
+        left_out: lines left out since the last one written.
+    """
+
+    tokens: float = LINES_BURST
+    filled: float = 0.0
+    left_out: int = 0
+
+    def admit(self, now: float) -> int | None:
+        """Return how many lines were left out before this one, None to leave it out too."""
+        grown = self.tokens + (now - self.filled) * LINES_PER_S
+        self.tokens = min(LINES_BURST, grown)
+        self.filled = now
+        if self.tokens < 1.0:
+            self.left_out += 1
+            return None
+        self.tokens -= 1.0
+        left_out, self.left_out = self.left_out, 0
+        return left_out
+
+
+class LineWriter:
+    """Writes lines in a task of its own; a full queue drops lines and counts them.
+
+    Attributes:
+        dropped: lines dropped because nobody read.
+    """
+
+    def __init__(self, *, stream: TextIO) -> None:
+        self.dropped = 0
+        self._stream = stream
+        self._lines: deque[str] = deque()
+        self._waiting = threading.Event()
+        self._idle = threading.Event()
+        self._idle.set()
+        self._thread = threading.Thread(target=self._run, name="log-writer", daemon=True)
+        self._thread.start()
+
+    def msg(self, line: str) -> None:
+        """Queue one line; never blocks."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(line)
+        self._idle.clear()
+        self._waiting.set()
+
+    debug = info = warning = error = exception = msg
+
+    def flush(self, timeout_s: float) -> None:
+        """Wait until all lines are written, at most `timeout_s`."""
+        self._idle.wait(timeout=timeout_s)
+
+    def _run(self) -> None:
+        while True:
+            self._waiting.wait()
+            self._waiting.clear()
+            while self._lines:
+                self._write(self._lines.popleft())
+            self._idle.set()
 
-import structlog
-from structlog.typing import FilteringBoundLogger
+    def _write(self, line: str) -> None:
+        try:
+            print(line, file=self._stream, flush=True)
+        except (OSError, ValueError):
+            self.dropped += 1
+
+
+_rates: dict[str, EventRate] = {}
+_writers: list[LineWriter] = []
+
+
+class Logger:
+    """The logger of one module."""
+
+    def __init__(self, *, module: str) -> None:
+        self._module = module
+        self._bound: Any = None
+
+    def debug(self, event: str, **fields: Any) -> None:
+        """Write a line of level DEBUG."""
+        self._write(logging.DEBUG, "debug", event, fields)
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Write a line of level INFO."""
+        self._write(logging.INFO, "info", event, fields)
+
+    def warning(self, event: str, **fields: Any) -> None:
+        """Write a line of level WARNING."""
+        self._write(logging.WARNING, "warning", event, fields)
+
+    def error(self, event: str, **fields: Any) -> None:
+        """Write a line of level ERROR."""
+        self._write(logging.ERROR, "error", event, fields)
+
+    def exception(self, event: str, **fields: Any) -> None:
+        """Write a line of level ERROR with the exception that is being handled."""
+        self._write(logging.ERROR, "exception", event, fields)
+
+    def _write(self, level: int, method: str, event: str, fields: dict[str, Any]) -> None:
+        if level < _output.level:
+            return
+        left_out = _rates.setdefault(event, EventRate()).admit(time.monotonic())
+        if left_out is None:
+            return
+        if left_out:
+            fields = {**fields, "left_out": left_out}
+        if self._bound is None:
+            self._bound = _bind(self._module)
+        getattr(self._bound, method)(event, **fields)
 
 
 def configure_logging(*, process: str, role: str, level: str) -> None:
-    """Set the format and the fields that every line of this process carries."""
-    structlog.configure(
-        processors=[
-            structlog.contextvars.merge_contextvars,
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.EventRenamer("event"),
-            _process_fields(process, role),
-            structlog.processors.JSONRenderer(),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level)),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
-        cache_logger_on_first_use=True,
-    )
-
-
-def get_logger(module: str) -> FilteringBoundLogger:
+    """Set the fields that every line of this process carries, and the lowest level."""
+    _output.process = process
+    _output.role = role
+    _output.level = getattr(logging, level)
+    _output.configured = False
+
+
+def flush_logs() -> None:
+    """Wait a little for the last lines, at the end of the process."""
+    for writer in _writers:
+        writer.flush(FLUSH_S)
+
+
+def lines_dropped() -> int:
+    """Return the lines that were dropped because nobody read."""
+    return sum(writer.dropped for writer in _writers)
+
+
+def get_logger(module: str) -> Logger:
     """Return the logger of one module."""
-    return cast(FilteringBoundLogger, structlog.get_logger(module=module))
+    return Logger(module=module)
+
+
+def _bind(module: str) -> Any:
+    import structlog  # noqa: PLC0415 - see the module's docstring
+
+    if not _output.configured:
+        structlog.configure(
+            processors=[
+                structlog.contextvars.merge_contextvars,
+                structlog.processors.add_log_level,
+                structlog.processors.TimeStamper(fmt="iso", utc=True),
+                structlog.processors.format_exc_info,
+                structlog.processors.EventRenamer("event"),
+                _add_process_fields,
+                structlog.processors.JSONRenderer(),
+            ],
+            wrapper_class=structlog.make_filtering_bound_logger(_output.level),
+            logger_factory=_new_writer,
+        )
+        _output.configured = True
+    return structlog.get_logger(module=module)
+
 
+def _new_writer(*args: object) -> LineWriter:
+    """Return the one writer of this process."""
+    if not _writers:
+        _writers.append(LineWriter(stream=_output.stream))
+    return _writers[0]
 
-def _process_fields(process: str, role: str) -> structlog.typing.Processor:
-    def add_fields(
-        logger: object, method: str, event: structlog.typing.EventDict
-    ) -> structlog.typing.EventDict:
-        event["process"] = process
-        event["role"] = role
-        return event
 
-    return add_fields
+def _add_process_fields(logger: object, method: str, event: Any) -> Any:
+    event["process"] = _output.process
+    event["role"] = _output.role
+    return event
