Log each decision on a flow and each change of belief; tell stories from logs

Cause: on-call engineers had counters and a few lines, none for a flow. Change: lines for flows placed, taken, passed on, refused, dropped, sought, claimed, denied, reset; for agents, catalogues, domains and controllers as a process comes to know them; lentilcourse explain puts one flow, change or id together; metrics at an address of their own.

--- a/lentilcourse/client.py
+++ b/lentilcourse/client.py
@@ -19,6 +19,7 @@
     "lentilcourse.commands.controllers",
     "lentilcourse.commands.declared",
     "lentilcourse.commands.domains",
+    "lentilcourse.commands.explain",
     "lentilcourse.commands.inspection",
 )
 
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -52,12 +52,15 @@
     try:
         admin = AdminServer(address=cfg.process.admin_address, lifecycle=lifecycle)
         admin.add_metrics(metrics)
+        exporter = AdminServer(address=cfg.process.metrics_address, lifecycle=lifecycle)
+        exporter.add_metrics(metrics)
         context = ProcessContext(settings=cfg, lifecycle=lifecycle, metrics=metrics, admin=admin)
         metrics.counter("lentilcourse.log_lines.dropped", lines_dropped)
         start_heartbeats(lifecycle)
         metrics.counters_of("lentilcourse.stream_bytes", TRAFFIC)
         ROLE_PLUGINS.get(cfg.process.role)(context)
         admin.start()
+        exporter.start()
     except (LentilcourseError, OSError) as exc:
         _log.error("start_failed", error=str(exc))
         lifecycle.stopped.set()
--- a/lentilcourse/options.py
+++ b/lentilcourse/options.py
@@ -59,6 +59,8 @@
         domain: failure domain of the VM.
         admin_address: HTTP listener for metrics, health and announcements.
         log_level: lowest level that is logged.
+        metrics_address: HTTP listener for metrics alone, where the admin listener is not to be
+            reached from outside.
     """
 
     name: str
@@ -66,6 +68,7 @@
     domain: str
     admin_address: Address | None
     log_level: str
+    metrics_address: Address | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -363,6 +366,9 @@
                 self._value("process", "admin_address", parse_address) if has_admin else None
             ),
             log_level=self._value("process", "log_level", _choice(LOG_LEVELS), default="INFO"),
+            metrics_address=self._value(
+                "process", "metrics_address", _optional_address, default=""
+            ),
         )
 
     def _controllers(self) -> Mapping[str, Address]:
--- a/lentilcourse/platform/operator_calls.py
+++ b/lentilcourse/platform/operator_calls.py
@@ -7,7 +7,8 @@
 from urllib.parse import unquote
 
 from lentilcourse.admin import AdminAnswer, AdminServer
-from lentilcourse.changes import Action, PublishCatalogue, SetDomain, Verdict
+from lentilcourse.changes import Action, PublishCatalogue, SetDomain, Verdict, summarize
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.controller.role import OPERATOR_INTERFACES, Controller, own_change
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.http_server import HttpRequest
@@ -59,11 +60,21 @@
         return self._submit(SetDomain(name=_zone(req), state="in"))
 
     def _submit(self, action: Action) -> AdminAnswer:
+        began = time.monotonic()
         change = own_change(PLATFORM_OPERATOR, "", action)
         try:
             outcome = self._controller.proposer.submit(change)
         except LentilcourseError as exc:
             return _unavailable(exc)
+        _log.info(
+            "operator_change",
+            change=type(action).__name__,
+            subject=summarize(action),
+            verdict=outcome.verdict.value,
+            reason=outcome.reason,
+            version=outcome.version,
+            wait_ms=int((time.monotonic() - began) * MS_PER_S),
+        )
         already = outcome.verdict is Verdict.INVALID and outcome.field == "state"
         if outcome.verdict is Verdict.ACCEPTED or already:
             return ACKNOWLEDGED
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from lentilcourse.catalogue import ServicePolicy
+from lentilcourse.catalogue import Catalogue, ServicePolicy
 from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
@@ -26,6 +26,7 @@
     encode_denial,
     encode_envelope,
     encode_owner,
+    flow_text,
     service_key,
 )
 from lentilcourse.steering.load_meter import LoadMeter
@@ -48,6 +49,19 @@
 _log = get_logger(__name__)
 
 
+class Decline(enum.Enum):
+    """Why an agent's target does not take a new flow."""
+
+    NO_TARGET = "no-target"
+    DRAINING = "draining"
+    NO_STATE = "no-state"
+    DOMAIN_OUT = "domain-out"
+    WRONG_SERVICE = "wrong-service"
+    CONNECTIONS = "connections"
+    COLD = "cold"
+    TARGET_FULL = "target-full"
+
+
 class FlowState(enum.Enum):
     """What the agent knows of a flow.
 
@@ -98,9 +112,6 @@
     sought: int = 0
     claimed: int = 0
     denied: int = 0
-    malformed: int = 0
-    wrong_service: int = 0
-    cold_declined: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -179,8 +190,9 @@
             record.seen = now
             self._deliver(packet, envelope)
             return
-        if not self._admits(envelope, packet, now):
-            self._pass_on(envelope, packet, now)
+        decline = self._decline(envelope, packet, now)
+        if decline is not None:
+            self._pass_on(envelope, packet, decline, now)
             return
         self._flows[packet.flow] = FlowRecord(
             state=FlowState.OFFERED,
@@ -190,47 +202,86 @@
             seen=now,
         )
         self.counts.opened += 1
+        self._log_taken(envelope, packet, now)
         self._deliver(packet, envelope)
 
-    def _admits(self, envelope: Envelope, packet: FlowPacket, now: float) -> bool:
+    def _decline(self, envelope: Envelope, packet: FlowPacket, now: float) -> Decline | None:
+        """Return why the target does not take a new flow, None if it does."""
         report = self._watch.report
-        if report is None or not self._watch.takes_new(now):
-            return False
+        if report is None or not self._watch.present(now):
+            return Decline.NO_TARGET
+        if report.draining:
+            return Decline.DRAINING
         state = self._state()
-        if state.version == 0 or state.domain_out(self._limits.domain):
-            return False
+        if state.version == 0:
+            return Decline.NO_STATE
+        if state.domain_out(self._limits.domain):
+            return Decline.DOMAIN_OUT
         route = self._routes.find(packet.entry)
         if not entry_allows(route, envelope, state.catalogue.number, report.service):
-            self.counts.wrong_service += 1
-            return False
-        policy = next(
-            (each for each in state.catalogue.services if each.name == report.service), None
-        )
+            return Decline.WRONG_SERVICE
+        policy = find_policy(state.catalogue, report.service)
         if policy is not None and len(self._flows) >= policy.connections:
-            return False
-        cold_limit = cold_openings(policy, self._limits)
-        if not self._watch.take_opening(cold_limit, now):
-            self.counts.cold_declined += 1
-            return False
-        return True
+            return Decline.CONNECTIONS
+        if not self._watch.take_opening(cold_openings(policy, self._limits), now):
+            return Decline.COLD
+        return None
 
-    def _pass_on(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+    def _pass_on(
+        self, envelope: Envelope, packet: FlowPacket, decline: Decline, now: float
+    ) -> None:
         hops = envelope.hops + 1
         candidates = self._peers.table().serving.get(envelope.service, ())
         peer = next_candidate(packet.flow, self._limits.own, candidates)
         if peer is None or hops > MAX_HOPS:
-            if self._peers.settled(now):
-                self._refuse(packet)
+            self._refuse(envelope, packet, decline, now)
             return
         self.counts.passed_on += 1
+        _log.info(
+            "flow_passed_on",
+            flow=flow_text(packet.flow),
+            reason=decline.value,
+            to=peer.name,
+            hops=hops,
+            catalogue=self._state().catalogue.number,
+            routed_by=envelope.catalogue,
+        )
         raw = self._format.stamped(packet, 0)
         self._outputs.to_peer(
             encode_envelope(attrs.evolve(envelope, kind=Kind.OPEN, hops=hops), raw), peer.address
         )
 
-    def _refuse(self, packet: FlowPacket) -> None:
-        self.counts.refused += 1
-        self._send_caller(self._format.reset(packet), packet.flow)
+    def _refuse(self, envelope: Envelope, packet: FlowPacket, decline: Decline, now: float) -> None:
+        """Refuse a flow that nobody took; silently while agents may still be unknown."""
+        settled = self._peers.settled(now)
+        _log.info(
+            "flow_refused" if settled else "flow_dropped",
+            flow=flow_text(packet.flow),
+            reason=decline.value,
+            hops=envelope.hops,
+            catalogue=self._state().catalogue.number,
+            routed_by=envelope.catalogue,
+        )
+        if settled:
+            self.counts.refused += 1
+            self._send_caller(self._format.reset(packet), packet.flow)
+
+    def _log_taken(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        report = self._watch.report
+        _log.info(
+            "flow_taken",
+            flow=flow_text(packet.flow),
+            target=report.target_id if report is not None else "",
+            service=report.service if report is not None else "",
+            attempt=packet.attempt,
+            hops=envelope.hops,
+            in_flight=self.meter.in_flight,
+            load=round(self.load(now), 3),
+            cold=self._watch.cold(now),
+            announced_ms=self._watch.age_ms(now),
+            catalogue=self._state().catalogue.number,
+            routed_by=envelope.catalogue,
+        )
 
     def _on_carry(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
@@ -253,6 +304,7 @@
         record.balancer = envelope.balancer
         if record.state is FlowState.HELD:
             self.counts.claimed += 1
+            _log.info("flow_claimed", flow=flow_text(packet.flow))
             self._claim(packet.flow, record, now)
         self._note_caller(record, packet, now)
         self._deliver(packet, envelope)
@@ -332,19 +384,27 @@
             return
         hops = packet.stamp & HOP_MASK
         if kind == Kind.OPEN and packet.opening:
-            self._pass_on(self._opening_envelope(packet, record, hops), packet, now)
+            envelope = self._opening_envelope(record, hops)
+            self._pass_on(envelope, packet, Decline.TARGET_FULL, now)
         elif kind == Kind.CARRY:
             self._deny(packet, record.balancer)
             self._seek(packet, record)
 
     def _deny(self, packet: FlowPacket, balancer: tuple[str, int]) -> None:
         self.counts.denied += 1
+        if packet.returned:
+            _log.info(
+                "flow_denied",
+                flow=flow_text(packet.flow),
+                target_run=self._watch.run,
+                balancer=balancer[0],
+            )
         notice = DenialNotice(
             flow=packet.flow, agent=self._limits.own, reset=self._format.reset(packet)
         )
         self._outputs.to_peer(encode_denial(notice), balancer)
 
-    def _opening_envelope(self, packet: FlowPacket, record: FlowRecord, hops: int) -> Envelope:
+    def _opening_envelope(self, record: FlowRecord, hops: int) -> Envelope:
         report = self._watch.report
         service = service_key(report.service) if report is not None else b"\0" * 8
         return Envelope(
@@ -357,6 +417,7 @@
 
     def _seek(self, packet: FlowPacket, record: FlowRecord) -> None:
         self.counts.sought += 1
+        _log.info("flow_sought", flow=flow_text(packet.flow), state=record.state.value)
         envelope = Envelope(kind=Kind.SEEK, hops=1, balancer=record.balancer)
         datagram = encode_envelope(envelope, self._format.stamped(packet, 0))
         for peer in self._peers.table().everyone:
@@ -402,6 +463,11 @@
         return record
 
 
+def find_policy(catalogue: Catalogue, service: str) -> ServicePolicy | None:
+    """Return the policy of a service."""
+    return next((each for each in catalogue.services if each.name == service), None)
+
+
 def cold_openings(policy: ServicePolicy | None, limits: AgentLimits) -> int | None:
     """Return how many openings in one second a cold target takes, None for no limit.
 
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -13,6 +13,8 @@
 
 import attrs
 
+from lentilcourse.clocks import MS_PER_S
+from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
     DenialNotice,
@@ -23,9 +25,10 @@
     decode_kind,
     decode_owner,
     encode_envelope,
+    flow_text,
 )
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
-from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.placement import AgentLoads, choose_peer
 from lentilcourse.steering.routes import Route, Routes
 
@@ -37,6 +40,8 @@
 HINT_SLACK_S: Final = 5.0
 """Time for which a hint is kept beyond the idle time of flows."""
 
+_log = get_logger(__name__)
+
 Send = Callable[[bytes, tuple[str, int]], None]
 
 
@@ -164,8 +169,7 @@
         route = self._routes.find(packet.entry)
         if route is None:
             self.counts.unknown_entry += 1
-            if self._state().catalogue.number > 0:
-                self._refuse(packet)
+            self._refuse(packet, "unknown-entry", self._state().catalogue.number > 0)
             return
         if hint is not None and (hint.told or now - hint.placed < RESEND_AFTER_S):
             hint.seen = now
@@ -173,6 +177,12 @@
             return
         if hint is not None:
             self.counts.replaced += 1
+            _log.info(
+                "flow_offer_unanswered",
+                flow=flow_text(packet.flow),
+                agent=hint.owner[0],
+                waited_ms=int((now - hint.placed) * MS_PER_S),
+            )
             self.loads.unanswered(hint.owner, now)
         self._place(packet, route, now)
 
@@ -181,10 +191,10 @@
         peer = choose_peer(peers, self.loads, self._domain, self._rng, now)
         if peer is None:
             self.counts.no_target += 1
-            if self._peers.settled(now):
-                self._refuse(packet)
+            self._refuse(packet, "no-target", self._peers.settled(now))
             return
         self.counts.opened += 1
+        self._log_placed(packet, route, peer, len(peers), now)
         self.loads.place(peer.address, now)
         self._hints[packet.flow] = Hint(owner=peer.address, told=False, placed=now, seen=now)
         self._open(packet, route, peer.address)
@@ -205,6 +215,9 @@
 
     def _seek(self, packet: FlowPacket) -> None:
         self.counts.sought += 1
+        _log.info(
+            "flow_sought", flow=flow_text(packet.flow), asked=len(self._peers.table().everyone)
+        )
         for peer in self._peers.table().everyone:
             self._send(Kind.SEEK, packet, peer.address)
 
@@ -214,6 +227,8 @@
         if hint is None:
             self._hints[notice.flow] = Hint(owner=notice.owner, told=True, placed=now, seen=now)
             return
+        if hint.owner != notice.owner:
+            _log.info("flow_owner_moved", flow=flow_text(notice.flow), owner=notice.owner[0])
         hint.owner = notice.owner
         hint.told = True
 
@@ -229,9 +244,37 @@
         del self._denials[notice.flow]
         self._hints.pop(notice.flow, None)
         self.counts.reset += 1
+        _log.info("flow_reset", flow=flow_text(notice.flow), denied_by=len(denials.agents))
         host = self._format.caller_host(notice.flow)
         self._to_caller(notice.reset, (host, self._caller_port))
 
-    def _refuse(self, packet: FlowPacket) -> None:
-        host = self._format.caller_host(packet.flow)
-        self._to_caller(self._format.reset(packet), (host, self._caller_port))
+    def _refuse(self, packet: FlowPacket, reason: str, certain: bool) -> None:
+        """Refuse a new flow; silently while what is known may be incomplete."""
+        _log.info(
+            "flow_refused" if certain else "flow_dropped",
+            flow=flow_text(packet.flow),
+            reason=reason,
+            catalogue=self._state().catalogue.number,
+            version=self._state().version,
+        )
+        if certain:
+            host = self._format.caller_host(packet.flow)
+            self._to_caller(self._format.reset(packet), (host, self._caller_port))
+
+    def _log_placed(
+        self, packet: FlowPacket, route: Route, peer: Peer, candidates: int, now: float
+    ) -> None:
+        known = self.loads.of(peer.address)
+        heard = known.heard > float("-inf")
+        _log.info(
+            "flow_placed",
+            flow=flow_text(packet.flow),
+            entry=route.entry.name,
+            agent=peer.name,
+            candidates=candidates,
+            load=round(known.load, 3),
+            load_age_ms=int((now - known.heard) * MS_PER_S) if heard else -1,
+            placed_since=known.placed,
+            attempt=packet.attempt,
+            catalogue=self._state().catalogue.number,
+        )
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -107,6 +107,18 @@
     return socket.inet_ntoa(packed)
 
 
+@lru_cache(maxsize=4096)
+def flow_text(flow: bytes) -> str:
+    """Return a flow's identity as logs show it: CALLER:PORT>ENTRY:PORT."""
+    caller, entry = flow[:6], flow[6:]
+    return f"{address_text(caller)}>{address_text(entry)}"
+
+
+def address_text(packed: bytes) -> str:
+    """Return IP:PORT of 6 bytes."""
+    return f"{unpack_host(packed[:4])}:{int.from_bytes(packed[4:6], 'big')}"
+
+
 def pack_address(address: Address) -> bytes:
     """Return the 6 bytes of an address, as `FlowPacket.entry` has them."""
     return pack_host(address.host) + address.port.to_bytes(2, "big")
--- a/lentilcourse/steering/membership.py
+++ b/lentilcourse/steering/membership.py
@@ -7,8 +7,10 @@
 
 import attrs
 
-from lentilcourse.directory import AgentNotice, Directory
+from lentilcourse.directory import AgentNotice, AgentRecord, Directory
+from lentilcourse.logs import get_logger
 from lentilcourse.messages.state import Report
+from lentilcourse.model import State
 from lentilcourse.roles import ProcessContext
 from lentilcourse.steering.peers import Peers
 from lentilcourse.streams import KIND_PROCESS, Identity
@@ -19,6 +21,8 @@
     seeded_controllers,
 )
 
+_log = get_logger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class Following:
@@ -30,6 +34,34 @@
     subscription: Subscription
 
 
+class BeliefLog:
+    """Writes a line for each change of what a process believes of the system."""
+
+    def __init__(self) -> None:
+        self._state = State()
+        self._agents: dict[str, AgentRecord] = {}
+
+    def on_state(self, state: State, now: float) -> None:
+        """Take a new state."""
+        before, self._state = self._state, state
+        if state.catalogue.number != before.catalogue.number:
+            _log.info("catalogue_in_force", number=state.catalogue.number, version=state.version)
+        for name, domain in state.domains.items():
+            if domain != before.domains.get(name):
+                _log.info(
+                    "domain_state", domain=name, state=domain.state.value, version=state.version
+                )
+
+    def on_agents(self, records: tuple[AgentRecord, ...]) -> None:
+        """Take the records of agents after a change."""
+        known, self._agents = self._agents, {record.name: record for record in records}
+        for name, record in self._agents.items():
+            if record != known.get(name):
+                _log.info("agent_known", agent=name, state=record.state, service=record.service)
+        for name in known.keys() - self._agents.keys():
+            _log.info("agent_dropped", agent=name, state=known[name].state)
+
+
 def follow(
     context: ProcessContext,
     open_flows: Callable[[], int],
@@ -38,7 +70,8 @@
     """Return the view of a process; the subscription is not started yet."""
     settings = context.settings
     copy = StateCopy()
-    directory = Directory()
+    directory = Directory(on_change=lambda: beliefs.on_agents(directory.records()))
+    beliefs = BeliefLog()
 
     def report() -> Report:
         return Report(
@@ -50,6 +83,7 @@
             admin_address=str(settings.process.admin_address),
         )
 
+    copy.listen(beliefs.on_state)
     seeded = settings.discovery is not None
     subscription = Subscription(
         controllers=seeded_controllers(settings) if seeded else named_controllers(settings),
--- a/lentilcourse/steering/placement.py
+++ b/lentilcourse/steering/placement.py
@@ -52,7 +52,7 @@
 
     def hear(self, address: tuple[str, int], load: float, now: float) -> None:
         """Take an agent's word."""
-        known = self._get(address)
+        known = self.of(address)
         known.load = load
         known.heard = now
         known.placed = 0
@@ -61,19 +61,19 @@
 
     def place(self, address: tuple[str, int], now: float) -> None:
         """Count an offer."""
-        known = self._get(address)
+        known = self.of(address)
         known.placed += 1
         known.waiting_since = min(known.waiting_since, now)
 
     def unanswered(self, address: tuple[str, int], now: float) -> None:
         """Avoid an agent that did not answer an offer."""
-        known = self._get(address)
+        known = self.of(address)
         if known.heard <= known.waiting_since:
             known.avoided_until = now + AVOIDED_FOR_S
 
     def avoided(self, address: tuple[str, int], now: float) -> bool:
         """Return whether an agent is to be avoided now."""
-        known = self._get(address)
+        known = self.of(address)
         if now - known.waiting_since > SILENT_AFTER_S:
             known.avoided_until = now + AVOIDED_FOR_S
             known.waiting_since = float("inf")
@@ -81,12 +81,13 @@
 
     def cost(self, peer: Peer, domain: str, now: float) -> float:
         """Return what a new flow at an agent is taken to cost; lower is better."""
-        known = self._get(peer.address)
+        known = self.of(peer.address)
         load = known.load if now - known.heard <= LOAD_LIFE_S else 0.0
         distance = 0.0 if peer.domain == domain else OTHER_DOMAIN_LOAD
         return load + known.placed * FLOW_LOAD / max(1, peer.slots) + distance
 
-    def _get(self, address: tuple[str, int]) -> AgentLoad:
+    def of(self, address: tuple[str, int]) -> AgentLoad:
+        """Return what is known of an agent."""
         known = self._loads.get(address)
         if known is None:
             known = self._loads[address] = AgentLoad()
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -14,6 +14,7 @@
 
 import attrs
 
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.options import Address
 
 COLD_WINDOW_S: Final = 1.0
@@ -105,6 +106,10 @@
         """Return whether the target was heard lately."""
         return self.report is not None and now - self._heard <= self._life_s
 
+    def age_ms(self, now: float) -> int:
+        """Return how long ago the target announced itself; -1 before the first time."""
+        return int((now - self._heard) * MS_PER_S) if self.run else -1
+
     def takes_new(self, now: float) -> bool:
         """Return whether the target takes new flows, its coldness aside."""
         return self.present(now) and self.report is not None and not self.report.draining
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -39,6 +39,7 @@
 MAX_FRESHNESS_S: Final = 2.0
 RETRY_DELAY_S: Final = 0.1
 RELAY_TURN_S: Final = 3.0
+MAX_LOGGED_S: Final = 1e6
 
 _log = get_logger(__name__)
 
@@ -226,6 +227,8 @@
 
     def _follow(self, address: Address, until: float) -> None:
         stream = connect_stream(address, self._identity)
+        began = time.monotonic()
+        _log.info("source_connected", source=stream.peer, version=self._copy.current.version)
         try:
             stream.send(Subscribe(name=self._identity.name, version=self._copy.current.version))
             self._stream = stream
@@ -237,6 +240,14 @@
         finally:
             self._stream = None
             stream.close()
+            now = time.monotonic()
+            _log.info(
+                "source_left",
+                source=stream.peer,
+                after_s=round(now - began, 3),
+                freshness_s=min(round(self._copy.freshness_s(now), 3), MAX_LOGGED_S),
+                version=self._copy.current.version,
+            )
 
     @singledispatchmethod
     def _take(self, msg: object) -> bool:
