Register agents in the replicated state; give a flow up only when all of them are heard

Ruled out: a longer wait, since an agent behind a silent connection takes over 2 s to be heard. Change: agents are registered in the log when first heard and forgotten when they end as planned or stay silent for 60 s; refusals and resets need every registered agent in the directory.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -22,7 +22,7 @@
       | steering.long_flows_on_unequal_targets          |
       | steering.load_follows_requests                  |
       | steering.newest_record_stays                    |
-      | steering.planned_end_is_no_loss                 |
+      | steering.planned_end_is_told                     |
       | platform.samples_of_the_page                    |
       | platform.packets_round_trip                     |
       | platform.reset_is_inside_the_window             |
@@ -42,3 +42,4 @@
       | formation.domain_without_listed_targets         |
       | formation.batches_are_bounded                   |
       | formation.only_the_meant_replica_answers        |
+      | steering.registrations_follow_agents           |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -9,14 +9,16 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lentilcourse.changes import ForgetAgent, RegisterAgent
+from lentilcourse.controller.registrations import FORGET_AFTER_S, Registrations
 from lentilcourse.directory import (
     RECORD_LIFE_S,
-    SETTLED_AFTER_S,
     STATE_GONE,
     AgentNotice,
     AgentRecord,
     Directory,
 )
+from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import FLAG_SYN
 from lentilcourse.steering.load_meter import LoadMeter
@@ -114,13 +116,20 @@
 
 
 @prop("steering.no_reset_while_an_agent_is_missing")
-@given(st.integers(0, 1000))
-def check_no_reset(seed):
-    """A flow is not given up while an agent that may hold it is silent."""
+@given(st.integers(0, 1000), st.booleans())
+def check_no_reset(seed, restarted):
+    """A flow is not given up while an agent that may hold it is not heard.
+
+    So too when all processes have just restarted and the agent with the flow is the last.
+    """
     world = SteeringWorld(agents=4, balancers=2, seed=seed)
     holder = world.open_flow(1, "b1")
     world.down.add(holder.agent)
-    world.pass_time(RECORD_LIFE_S + SETTLED_AFTER_S + 2)
+    if restarted:
+        for name in ("a1", "a2", "a3", "a4"):
+            world.start_agent(name)
+        world.start_balancer("b2")
+    world.pass_time(RECORD_LIFE_S + 2)
     for name in world.directories:
         world.directories[name].expire(world.now)
     world.talk(1, "b2")
@@ -169,15 +178,18 @@
 
 @prop("steering.nothing_is_refused_before_all_is_known")
 def check_young():
-    """A balancer that has just started drops what it can't place, and refuses it later."""
-    world = SteeringWorld(agents=1, balancers=1)
-    world.announce("a1", draining=True)
+    """A balancer that does not hear all agents drops what it can't place; later it refuses."""
+    world = SteeringWorld(agents=2, balancers=1)
+    for name in ("a1", "a2"):
+        world.announce(name, draining=True)
+    world.down.add("a2")
     world.start_balancer("b1")
     world.start_agent("a1")
     world.announce("a1", draining=True)
     world.open_flow(1)
     assert world.resets() == []
-    world.pass_time(SETTLED_AFTER_S + 1)
+    world.down.clear()
+    world.pass_time(1)
     world.open_flow(2)
     assert len(world.resets()) == 1
 
@@ -326,15 +338,38 @@
         directory.offer((notice,), 10.0)
     assert [each.state for each in directory.records()] == ["s0"]
     directory.expire(10.1 + RECORD_LIFE_S)
-    assert directory.records() == () and directory.lost_at == 10.1 + RECORD_LIFE_S
+    assert directory.records() == ()
 
 
-@prop("steering.planned_end_is_no_loss")
+@prop("steering.planned_end_is_told")
 def check_gone():
-    """An agent that ends as planned leaves the records without counting as lost."""
+    """An agent that ends as planned leaves the records and is named as gone."""
     directory = Directory()
     directory.offer((AgentNotice(record=record()),), 0.0)
     directory.offer((AgentNotice(record=record(state=STATE_GONE)),), 1.0)
-    assert directory.records() == ()
-    directory.expire(2.0 + RECORD_LIFE_S)
-    assert directory.lost_at == float("-inf")
+    assert directory.records() == () and directory.gone() == {"a1"}
+    moved_to = Directory()
+    moved_to.offer((AgentNotice(record=record(state=STATE_GONE)),), 1.0)
+    assert moved_to.records() == () and moved_to.gone() == {"a1"}
+
+
+@prop("steering.registrations_follow_agents")
+@given(st.sets(st.sampled_from("abcd")), st.sets(st.sampled_from("abcd")))
+def check_registrations(registered, present):
+    """Agents that are heard get registered; those that ended or stay silent are forgotten."""
+    agents = {name: RegisteredAgent(name=name, version=1) for name in registered}
+    state, registrations = State(agents=agents), Registrations()
+    due = registrations.due(state, present, set(), 0.0)
+    assert {each.name for each in due} == present - registered
+    assert all(isinstance(each, RegisterAgent) for each in due)
+    silent = registered - present
+    due = registrations.due(state, present, silent, 1.0)
+    assert {each.name for each in due if isinstance(each, ForgetAgent)} == silent
+    late = registrations.due(state, present, set(), FORGET_AFTER_S + 2.0)
+    assert {each.name for each in late if isinstance(each, ForgetAgent)} == silent
+    registrations.reset()
+    assert not [
+        each
+        for each in registrations.due(state, present, set(), FORGET_AFTER_S + 3.0)
+        if isinstance(each, ForgetAgent)
+    ]
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -14,7 +14,7 @@
 
 from lentilcourse.catalogue import Catalogue, PublishedEntry, ServicePolicy, WeightedService
 from lentilcourse.directory import STATE_SERVING, AgentNotice, AgentRecord, Directory
-from lentilcourse.model import State
+from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import (
     FLAG_ACK,
@@ -87,6 +87,7 @@
         self.targets = {}
         self.watches = {}
         self.directories = {}
+        self.copies = {}
         self.sequence = 0
         self.records = {}
         for number in range(1, agents + 1):
@@ -103,6 +104,7 @@
             self.start_agent(name)
         for number in range(1, balancers + 1):
             self.start_balancer(f"b{number}")
+        self.register(*self.records)
         self.pass_time(2.0)
 
     # Processes.
@@ -144,7 +146,6 @@
             to_peer=self._send_peer,
             to_caller=lambda raw, to: self.to_callers.append(raw),
             caller_port=CALLER_PORT,
-            flow_life_s=FLOW_LIFE_S,
             rng=self.rng,
         )
 
@@ -153,6 +154,13 @@
         self.targets[name].flows.clear()
         self.announce(name, born=int(self.now * 1000))
 
+    def register(self, *names):
+        """Let the replicated state name agents that may hold flows."""
+        agents = {name: RegisteredAgent(name=name, version=1) for name in names}
+        self.state = attrs.evolve(self.state, version=self.state.version + 1, agents=agents)
+        for copy in self.copies.values():
+            copy.current = self.state
+
     def announce(self, name, born=1, draining=False, cold_s=0.0):
         """Let a target announce itself."""
         self.sequence += 1
@@ -170,7 +178,7 @@
 
     def _new_peers(self, name):
         directory = self.directories[name] = Directory()
-        copy = StateCopy()
+        copy = self.copies[name] = StateCopy()
         copy.current = self.state
         self.tell(name)
         return Peers(directory=directory, copy=copy)
--- a/lentilcourse/changes.py
+++ b/lentilcourse/changes.py
@@ -23,6 +23,7 @@
     Limits,
     LimitShare,
     Protocol,
+    RegisteredAgent,
     State,
     StateDelta,
     Target,
@@ -141,8 +142,24 @@
     catalogue: Catalogue
 
 
+@attrs.frozen(kw_only=True)
+class RegisterAgent:
+    """Enter an agent that may hold flows."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class ForgetAgent:
+    """Remove an agent that has ended as planned, or is silent for longer than flows live."""
+
+    name: str
+
+
 Action: TypeAlias = (
     PutEntry
+    | RegisterAgent
+    | ForgetAgent
     | PublishCatalogue
     | DeleteEntry
     | SetDomain
@@ -288,6 +305,22 @@
     return StateDelta(version=state.version + 1, catalogue=action.catalogue)
 
 
+@build_delta.register
+def _register_agent(action: RegisterAgent, state: State, edit_version: int) -> StateDelta | None:
+    if action.name in state.agents:
+        return None
+    version = state.version + 1
+    agent = RegisteredAgent(name=_checked_name("name", action.name), version=version)
+    return StateDelta(version=version, agents=(agent,))
+
+
+@build_delta.register
+def _forget_agent(action: ForgetAgent, state: State, edit_version: int) -> StateDelta | None:
+    if action.name not in state.agents:
+        return None
+    return StateDelta(version=state.version + 1, removed_agents=(action.name,))
+
+
 @build_delta.register
 def _delete_entry(action: DeleteEntry, state: State, edit_version: int) -> StateDelta:
     current = state.entries.get(action.name)
--- /dev/null
+++ b/lentilcourse/controller/registrations.py
@@ -0,0 +1,45 @@
+"""Keeps the agents that may hold flows in the replicated state.
+
+The directory forgets everything when all processes end; the registrations do not. A process
+that knows both can tell whether an agent is missing from what it hears, which decides whether
+a flow that nobody claims may be given up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from typing import Final
+
+from lentilcourse.changes import Action, ForgetAgent, RegisterAgent
+from lentilcourse.model import State
+
+FORGET_AFTER_S: Final = 60.0
+"""Silence after which an agent is forgotten: its target's flows have outlived their use."""
+
+
+class Registrations:
+    """Decides, at the leader, which registrations are due."""
+
+    def __init__(self) -> None:
+        self._silent_since: dict[str, float] = {}
+
+    def reset(self) -> None:
+        """Count the silence of every agent anew, as a new leader does."""
+        self._silent_since.clear()
+
+    def due(
+        self, state: State, present: Collection[str], gone: Collection[str], now: float
+    ) -> list[Action]:
+        """Return the changes that the agents heard (`present`) and ended (`gone`) call for."""
+        actions: list[Action] = []
+        for name in present:
+            self._silent_since.pop(name, None)
+            if name not in state.agents:
+                actions.append(RegisterAgent(name=name))
+        for name in state.agents:
+            if name in present:
+                continue
+            silent_since = self._silent_since.setdefault(name, now)
+            if name in gone or now - silent_since > FORGET_AFTER_S:
+                actions.append(ForgetAgent(name=name))
+        return actions
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -41,6 +41,7 @@
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
 from lentilcourse.controller.reads import CatalogueReader, CatalogueReply, ReadCatalogue
+from lentilcourse.controller.registrations import Registrations
 from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import ReplicaDriver
 from lentilcourse.controller.shares import due_shares
@@ -170,6 +171,7 @@
             replica=self.replica, identity=identity, controllers=settings.controllers
         )
         self.leases = LeaseTable()
+        self.registrations = Registrations()
         self.directory = Directory(on_change=self._directory_changed)
         self.relay = DirectoryRelay(
             replica=self.replica, identity=identity, known=self.directory, lifecycle=lifecycle
@@ -207,6 +209,7 @@
         else:
             self._tasks.submit(self.formation.run)
             self._tasks.submit(self.relay.run)
+            self._tasks.submit(self._run_registrations)
         if self.replica.damaged:
             _log.warning("log_damaged", replica=self.replica.replica_id)
 
@@ -296,6 +299,19 @@
         for shares in due_shares(state, announcements):
             self._propose_once(shares)
 
+    def _run_registrations(self) -> None:
+        """Keep the registered agents in step with the directory while this replica leads."""
+        while not self.lifecycle.stopped.wait(timeout=LEASE_CHECK_S):
+            if self.replica.role is not Role.LEADER:
+                self.registrations.reset()
+                continue
+            with self.replica.changed:
+                state = self.replica.machine.state
+            present = {record.name for record in self.directory.records()}
+            now = time.monotonic()
+            for action in self.registrations.due(state, present, self.directory.gone(), now):
+                self._propose_once(action)
+
     def _propose_once(self, action: Action) -> None:
         place = f"{type(action).__name__} {action.name}"
         with self._proposing_lock:
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -23,10 +23,6 @@
 REFRESH_INTERVAL_S: Final = 2.0
 """Longest pause between two lists to one subscriber."""
 
-SETTLED_AFTER_S: Final = 0.5
-"""Time without a new agent after which the records are taken for complete: agents report when
-they connect and every 0.4 s, and controllers relay within 0.1 s."""
-
 STATE_SERVING: Final = "serving"
 STATE_DRAINING: Final = "draining"
 STATE_IDLE: Final = "idle"
@@ -83,14 +79,10 @@
 
     Attributes:
         version: raised with each change that a reader can see.
-        joined_at: when the last agent became known; infinite before the first.
-        lost_at: when a record was last dropped without a word from its agent.
     """
 
     def __init__(self, *, on_change: Callable[[], None] = lambda: None) -> None:
         self.version = 0
-        self.joined_at = float("inf")
-        self.lost_at = float("-inf")
         self._on_change = on_change
         self._lock = threading.Lock()
         self._held: dict[str, _Held] = {}
@@ -110,16 +102,18 @@
         """Drop the records that are too old."""
         self.offer((), now)
 
-    def settled(self, now: float) -> bool:
-        """Return whether the records are likely complete: no agent has joined for a while."""
-        return now - self.joined_at > SETTLED_AFTER_S
-
     def records(self) -> tuple[AgentRecord, ...]:
         """Return the records of agents that are not gone, ordered by name."""
         with self._lock:
             held = [self._held[name].record for name in sorted(self._held)]
         return tuple(record for record in held if record.state != STATE_GONE)
 
+    def gone(self) -> frozenset[str]:
+        """Return the names of agents that have ended as planned."""
+        with self._lock:
+            held = self._held.items()
+            return frozenset(name for name, each in held if each.record.state == STATE_GONE)
+
     def notices(self, now: float) -> tuple[AgentNotice, ...]:
         """Return the records with their ages, ordered by name."""
         with self._lock:
@@ -134,16 +128,11 @@
         held = self._held.get(notice.record.name)
         if held is not None and held.heard >= heard:
             return False
-        if held is None and notice.record.state == STATE_GONE:
-            return False
         self._held[notice.record.name] = _Held(record=notice.record, heard=heard)
-        if held is None:
-            self.joined_at = now
         return held is None or held.record != notice.record
 
     def _expire(self, now: float) -> bool:
         outdated = [name for name, held in self._held.items() if now - held.heard > RECORD_LIFE_S]
         for name in outdated:
-            if self._held.pop(name).record.state != STATE_GONE:
-                self.lost_at = now
+            del self._held[name]
         return bool(outdated)
--- a/lentilcourse/model.py
+++ b/lentilcourse/model.py
@@ -170,6 +170,19 @@
     bound: Limits
 
 
+@attrs.frozen(kw_only=True)
+class RegisteredAgent:
+    """An agent that may hold flows, whether or not it is heard now.
+
+    Attributes:
+        name: its process.
+        version: version at which it was registered.
+    """
+
+    name: str
+    version: int
+
+
 def share_name(entry: str, target: str) -> str:
     """Return the name of the share of a target in an entry's limits."""
     return f"{entry}/{target}"
@@ -185,6 +198,7 @@
     targets: dict[str, Target] = attrs.field(factory=dict)
     shares: dict[str, LimitShare] = attrs.field(factory=dict)
     catalogue: Catalogue = NO_CATALOGUE
+    agents: dict[str, RegisteredAgent] = attrs.field(factory=dict)
 
     def domain_out(self, domain: str) -> bool:
         """Return whether operators have taken `domain` out of service."""
@@ -220,9 +234,11 @@
     shares: tuple[LimitShare, ...] = ()
     removed_shares: tuple[str, ...] = ()
     catalogue: Catalogue | None = None
+    agents: tuple[RegisteredAgent, ...] = ()
+    removed_agents: tuple[str, ...] = ()
 
 
-NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target, LimitShare)
+NamedRecord = TypeVar("NamedRecord", Entry, Domain, Target, LimitShare, RegisteredAgent)
 
 
 def apply_delta(state: State, delta: StateDelta) -> State:
@@ -236,6 +252,7 @@
         targets=_replaced(state.targets, delta.targets, delta.removed_targets),
         shares=_replaced(state.shares, delta.shares, delta.removed_shares),
         catalogue=delta.catalogue if delta.catalogue is not None else state.catalogue,
+        agents=_replaced(state.agents, delta.agents, delta.removed_agents),
     )
 
 
--- a/lentilcourse/options.py
+++ b/lentilcourse/options.py
@@ -160,13 +160,11 @@
         packet_format: packet format plug-in.
         packet_address: UDP listener for packets of callers.
         peer_address: UDP listener for datagrams of agents.
-        flow_life_s: age in seconds after which a flow may be forgotten.
     """
 
     packet_format: str
     packet_address: Address
     peer_address: Address
-    flow_life_s: float
 
 
 @attrs.frozen(kw_only=True)
@@ -394,7 +392,6 @@
             packet_format=self._value(section, "packet_format", parse_name),
             packet_address=self._value(section, "packet_address", parse_address),
             peer_address=self._value(section, "peer_address", parse_address),
-            flow_life_s=self._value(section, "flow_life_s", _seconds(1.0, 604_800.0)),
         )
 
     def _steering_agent(self) -> SteeringAgentSettings:
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -192,7 +192,7 @@
             return
         decline = self._decline(envelope, packet, now)
         if decline is not None:
-            self._pass_on(envelope, packet, decline, now)
+            self._pass_on(envelope, packet, decline)
             return
         self._flows[packet.flow] = FlowRecord(
             state=FlowState.OFFERED,
@@ -227,14 +227,12 @@
             return Decline.COLD
         return None
 
-    def _pass_on(
-        self, envelope: Envelope, packet: FlowPacket, decline: Decline, now: float
-    ) -> None:
+    def _pass_on(self, envelope: Envelope, packet: FlowPacket, decline: Decline) -> None:
         hops = envelope.hops + 1
         candidates = self._peers.table().serving.get(envelope.service, ())
         peer = next_candidate(packet.flow, self._limits.own, candidates)
         if peer is None or hops > MAX_HOPS:
-            self._refuse(envelope, packet, decline, now)
+            self._refuse(envelope, packet, decline)
             return
         self.counts.passed_on += 1
         _log.info(
@@ -251,18 +249,18 @@
             encode_envelope(attrs.evolve(envelope, kind=Kind.OPEN, hops=hops), raw), peer.address
         )
 
-    def _refuse(self, envelope: Envelope, packet: FlowPacket, decline: Decline, now: float) -> None:
+    def _refuse(self, envelope: Envelope, packet: FlowPacket, decline: Decline) -> None:
         """Refuse a flow that nobody took; silently while agents may still be unknown."""
-        settled = self._peers.settled(now)
+        certain = self._peers.complete()
         _log.info(
-            "flow_refused" if settled else "flow_dropped",
+            "flow_refused" if certain else "flow_dropped",
             flow=flow_text(packet.flow),
             reason=decline.value,
             hops=envelope.hops,
             catalogue=self._state().catalogue.number,
             routed_by=envelope.catalogue,
         )
-        if settled:
+        if certain:
             self.counts.refused += 1
             self._send_caller(self._format.reset(packet), packet.flow)
 
@@ -385,7 +383,7 @@
         hops = packet.stamp & HOP_MASK
         if kind == Kind.OPEN and packet.opening:
             envelope = self._opening_envelope(record, hops)
-            self._pass_on(envelope, packet, Decline.TARGET_FULL, now)
+            self._pass_on(envelope, packet, Decline.TARGET_FULL)
         elif kind == Kind.CARRY:
             self._deny(packet, record.balancer)
             self._seek(packet, record)
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -30,6 +30,10 @@
 UPKEEP_INTERVAL_S: Final = 0.25
 """Interval of load notices; also the longest delay with which a silent target is noticed."""
 SWEEPS_EVERY: Final = 4
+TELL_END_S: Final = 4.0
+"""Longest time for which an ending agent waits to be known as gone: time to notice that a
+controller is silent and to reach another; less than a planned stop is given."""
+TELL_END_CHECK_S: Final = 0.05
 
 _log = get_logger(__name__)
 
@@ -80,7 +84,7 @@
         self._domain_was_out = False
         self._told_state = ""
         self.following.copy.listen(self._on_state)
-        context.lifecycle.on_drain(self.following.subscription.send_report)
+        context.lifecycle.on_drain(self._tell_end)
 
     def start(self) -> None:
         """Start all tasks."""
@@ -143,6 +147,20 @@
         """Return the datagrams that the system did not take."""
         return self._peer_loop.unsent + self._target_loop.unsent
 
+    def _tell_end(self) -> None:
+        """Say that this agent ends with its target, until the directory shows it.
+
+        An agent whose target lives ends at once: it is expected back.
+        """
+        deadline = time.monotonic() + TELL_END_S
+        self._tell_target_state(time.monotonic())
+        while self._told_state == STATE_GONE and time.monotonic() < deadline:
+            names = {record.name for record in self.following.directory.records()}
+            if self._process.name not in names:
+                return
+            time.sleep(TELL_END_CHECK_S)
+            self._tell_target_state(time.monotonic())
+
     def _target_state(self, now: float) -> str:
         if not self.watch.present(now):
             return STATE_GONE if self._lifecycle.stopping.is_set() else STATE_IDLE
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -99,7 +99,6 @@
         to_peer: Send,
         to_caller: Send,
         caller_port: int,
-        flow_life_s: float,
         rng: random.Random,
     ) -> None:
         self.counts = BalancerFlowCounts()
@@ -114,7 +113,6 @@
         self._to_caller = to_caller
         self._caller_port = caller_port
         self._rng = rng
-        self._flow_life_s = flow_life_s
         self._hints: dict[bytes, Hint] = {}
         self._denials: dict[bytes, Denials] = {}
         self._lock = threading.Lock()
@@ -191,7 +189,7 @@
         peer = choose_peer(peers, self.loads, self._domain, self._rng, now)
         if peer is None:
             self.counts.no_target += 1
-            self._refuse(packet, "no-target", self._peers.settled(now))
+            self._refuse(packet, "no-target", self._peers.complete())
             return
         self.counts.opened += 1
         self._log_placed(packet, route, peer, len(peers), now)
@@ -239,7 +237,7 @@
             denials = self._denials[notice.flow] = Denials(began=now)
         denials.agents.add(notice.agent)
         agents = {peer.address for peer in self._peers.table().everyone}
-        if not agents <= denials.agents or not self._peers.names_all(self._flow_life_s, now):
+        if not agents <= denials.agents or not self._peers.complete():
             return
         del self._denials[notice.flow]
         self._hints.pop(notice.flow, None)
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -38,7 +38,6 @@
         to_peer=agents.send,
         to_caller=callers.send,
         caller_port=cfg.packet_address.port,
-        flow_life_s=cfg.flow_life_s,
         rng=random.Random(),
     )
 
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -29,6 +29,7 @@
 
     everyone: tuple[Peer, ...] = ()
     serving: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
+    names: frozenset[str] = frozenset()
 
 
 class Peers:
@@ -40,16 +41,10 @@
         self._built = (-1, -1)
         self._table = PeerTable()
 
-    def settled(self, now: float) -> bool:
-        """Return whether the table is likely to name every agent."""
-        return self._copy.current.version > 0 and self._directory.settled(now)
-
-    def names_all(self, flow_life_s: float, now: float) -> bool:
-        """Return whether the table names every agent that may hold a flow.
-
-        It does not while an agent that fell silent may still hold flows.
-        """
-        return self.settled(now) and now - self._directory.lost_at > flow_life_s
+    def complete(self) -> bool:
+        """Return whether the table names every agent that may hold flows."""
+        registered = self._copy.current.agents.keys()
+        return bool(registered) and registered <= self.table().names
 
     def table(self) -> PeerTable:
         """Return the table for the directory and state of now."""
@@ -68,6 +63,7 @@
                 serving.setdefault(service_key(record.service), []).append(_peer(record))
         return PeerTable(
             everyone=tuple(_peer(record) for record in records),
+            names=frozenset(record.name for record in records),
             serving={key: tuple(peers) for key, peers in serving.items()},
         )
 
