--- a/features/platform.feature
+++ b/features/platform.feature
@@ -43,3 +43,4 @@
       | formation.batches_are_bounded                   |
       | formation.only_the_meant_replica_answers        |
       | steering.registrations_follow_agents           |
+      | steering.agent_without_target_is_not_waited_for |
--- a/lentilcourse/controller/registrations.py
+++ b/lentilcourse/controller/registrations.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from lentilcourse.changes import Action, ForgetAgent, RegisterAgent
+from lentilcourse.directory import STATE_IDLE, AgentRecord
 from lentilcourse.model import State
 
 FORGET_AFTER_S: Final = 60.0
@@ -28,17 +29,24 @@
         self._silent_since.clear()
 
     def due(
-        self, state: State, present: Collection[str], gone: Collection[str], now: float
+        self,
+        state: State,
+        records: Collection[AgentRecord],
+        gone: Collection[str],
+        now: float,
     ) -> list[Action]:
-        """Return the changes that the agents heard (`present`) and ended (`gone`) call for."""
+        """Return the changes that the agents heard (`records`) and ended (`gone`) call for.
+
+        An agent is registered once it has a target: before that it can hold no flow.
+        """
         actions: list[Action] = []
-        for name in present:
+        for record in records:
+            if record.name not in state.agents and record.state != STATE_IDLE:
+                actions.append(RegisterAgent(name=record.name))
+        heard = {record.name for record in records}
+        for name in heard:
             self._silent_since.pop(name, None)
-            if name not in state.agents:
-                actions.append(RegisterAgent(name=name))
-        for name in state.agents:
-            if name in present:
-                continue
+        for name in state.agents.keys() - heard:
             silent_since = self._silent_since.setdefault(name, now)
             if name in gone or now - silent_since > FORGET_AFTER_S:
                 actions.append(ForgetAgent(name=name))
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -307,9 +307,8 @@
                 continue
             with self.replica.changed:
                 state = self.replica.machine.state
-            present = {record.name for record in self.directory.records()}
-            now = time.monotonic()
-            for action in self.registrations.due(state, present, self.directory.gone(), now):
+            records, gone = self.directory.records(), self.directory.gone()
+            for action in self.registrations.due(state, records, gone, time.monotonic()):
                 self._propose_once(action)
 
     def _propose_once(self, action: Action) -> None:
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -41,6 +41,9 @@
 """Time after a packet from a balancer for which it is told this agent's load."""
 CLOSED_LIFE_S: Final = 3.0
 """Time for which a closed flow is remembered, for late copies of its last packets."""
+NO_TARGET_AFTER_S: Final = 2.5
+"""Time after the start without an announcement after which there is no target: two of the
+longest intervals of announcements."""
 HOP_BITS: Final = 4
 HOP_MASK: Final = (1 << HOP_BITS) - 1
 
@@ -309,7 +312,10 @@
 
     def _may_have_forgotten(self, now: float) -> bool:
         """Whether the target may hold flows from before the start of this process."""
-        return now - self._started < self._limits.flow_life_s and self._watch.run <= 1
+        age_s = now - self._started
+        if self._watch.run == 0:
+            return age_s < NO_TARGET_AFTER_S
+        return age_s < self._limits.flow_life_s and self._watch.run == 1
 
     def _assume(self, envelope: Envelope, packet: FlowPacket, now: float) -> FlowRecord:
         record = FlowRecord(
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -231,13 +231,13 @@
         hint.told = True
 
     def _on_denial(self, notice: DenialNotice, now: float) -> None:
-        """End a flow at its caller once every agent has said that its target lacks it."""
+        """End a flow at its caller once every agent that may hold it has denied it."""
         denials = self._denials.get(notice.flow)
         if denials is None or now - denials.began > DENIALS_LIFE_S:
             denials = self._denials[notice.flow] = Denials(began=now)
         denials.agents.add(notice.agent)
-        agents = {peer.address for peer in self._peers.table().everyone}
-        if not agents <= denials.agents or not self._peers.complete():
+        holders = self._peers.table().holders
+        if not holders <= denials.agents or not self._peers.complete():
             return
         del self._denials[notice.flow]
         self._hints.pop(notice.flow, None)
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -8,7 +8,7 @@
 import attrs
 from xxhash import xxh3_64_intdigest
 
-from lentilcourse.directory import STATE_SERVING, AgentRecord, Directory
+from lentilcourse.directory import STATE_IDLE, STATE_SERVING, AgentRecord, Directory
 from lentilcourse.steering.datagrams import service_key
 from lentilcourse.subscription import StateCopy
 
@@ -25,10 +25,18 @@
 
 @attrs.frozen(kw_only=True)
 class PeerTable:
-    """All agents, and those that take new flows by service key."""
+    """The agents.
+
+    Attributes:
+        everyone: all that are heard.
+        serving: those that take new flows, by service key.
+        holders: addresses of those that may hold flows: all but agents that never had a target.
+        names: names of all that are heard.
+    """
 
     everyone: tuple[Peer, ...] = ()
     serving: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
+    holders: frozenset[tuple[str, int]] = frozenset()
     names: frozenset[str] = frozenset()
 
 
@@ -63,6 +71,11 @@
                 serving.setdefault(service_key(record.service), []).append(_peer(record))
         return PeerTable(
             everyone=tuple(_peer(record) for record in records),
+            holders=frozenset(
+                record.address.pair()
+                for record in records
+                if record.state != STATE_IDLE or record.name in state.agents
+            ),
             names=frozenset(record.name for record in records),
             serving={key: tuple(peers) for key, peers in serving.items()},
         )
