--- a/features/platform.feature
+++ b/features/platform.feature
@@ -44,3 +44,31 @@
       | formation.only_the_meant_replica_answers        |
       | steering.registrations_follow_agents           |
       | steering.agent_without_target_is_not_waited_for |
+      | steering.returned_packet_finds_its_target      |
+      | logging.rate_is_bounded                        |
+      | logging.nobody_reads                           |
+      | logging.story_in_order                         |
+      | logging.story_of_a_change                      |
+      | logging.foreign_lines_are_counted              |
+      | logging.histogram_counts_all                   |
+
+  Scenario: A process takes a changed settings file in force and lives on
+    Given a steering balancer without controllers
+    When its settings name another seed and it gets SIGHUP
+    Then it still answers its health check
+
+  Scenario: The story of a flow is told from logs
+    Given logs of a balancer and an agent
+    When the operator asks to explain the flow "100.64.0.7:40001"
+    Then the command prints "flow_placed" before "flow_taken"
+
+  Scenario Outline: A story that can't be told is refused with a reason
+    Given logs of a balancer and an agent
+    When the operator asks to explain with "<arguments>"
+    Then the command fails naming "<text>"
+
+    Examples:
+      | arguments                  | text                                        |
+      | --flow 9.9.9.9:1           | no line of 2 names it                       |
+      | --flow 9.9.9.9:1 --id t1   | name exactly one of --flow, --change and --id |
+      | --id t1 missing.log        | cannot be read                              |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -17,6 +17,7 @@
     "steering",
     "platform",
     "formation",
+    "logging",
 )
 
 
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -13,6 +13,7 @@
 from lentilcourse.controller.registrations import FORGET_AFTER_S, Registrations
 from lentilcourse.directory import (
     RECORD_LIFE_S,
+    STATE_DRAINING,
     STATE_GONE,
     STATE_IDLE,
     AgentNotice,
@@ -178,11 +179,17 @@
 
 
 @prop("steering.nothing_is_refused_before_all_is_known")
-def check_young():
-    """A balancer that does not hear all agents drops what it can't place; later it refuses."""
+@given(st.booleans())
+def check_young(told):
+    """What can't be placed is dropped while an agent is not heard; later it is refused.
+
+    The balancer decides so where records say that targets drain, else an agent does.
+    """
     world = SteeringWorld(agents=2, balancers=1)
     for name in ("a1", "a2"):
         world.announce(name, draining=True)
+        if told:
+            world.records[name] = attrs.evolve(world.records[name], state=STATE_DRAINING)
     world.down.add("a2")
     world.start_balancer("b1")
     world.start_agent("a1")
@@ -263,10 +270,12 @@
 def check_silent_agent():
     """An agent that leaves offers unanswered gets none for a while, then one more chance."""
     loads, peers, rng = AgentLoads(), (peer(1), peer(2)), random.Random(1)
+    loads.hear(peers[1].address, 0.9, 0.0)
     loads.place(peers[0].address, 0.0)
     later = SILENT_AFTER_S + 0.1
     assert {choose_peer(peers, loads, "d0", rng, later).name for _ in range(20)} == {"a2"}
     loads.hear(peers[0].address, 0.0, later + 0.1)
+    loads.hear(peers[1].address, 0.0, later + 0.1)
     assert {choose_peer(peers, loads, "d0", rng, later + 0.2).name for _ in range(20)} == {
         "a1",
         "a2",
@@ -384,3 +393,19 @@
     world.resets()
     world.talk(1)
     assert len(world.resets()) == 1
+
+
+@prop("steering.returned_packet_finds_its_target")
+@given(st.integers(0, 1000))
+def check_wrong_hint(seed):
+    """A packet sent to the wrong agent by an old hint reaches the target after one try."""
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    wrong = next(name for name in world.agents if name != holder.agent)
+    flow = caller(1) + packet(b"\0" * 6, 0)[28:34]
+    world.balancers["b1"]._hints[flow].owner = world.records[wrong].address.pair()
+    for _ in range(3):
+        world.talk(1, "b1")
+    assert len(holder.took) == 4
+    assert len(world.targets[wrong].wrong) == 1
+    assert world.resets() == []
--- a/lentilcourse/metrics.py
+++ b/lentilcourse/metrics.py
@@ -13,6 +13,8 @@
 import attrs
 from attrs import AttrsInstance
 
+from lentilcourse.histograms import LatencyHistogram
+
 if TYPE_CHECKING:
     from lentilcourse.metrics_export import Exporter
 
@@ -45,6 +47,7 @@
             "lentilcourse.domain": domain,
         }
         self._waiting: list[Instrument] = []
+        self._histograms: dict[str, LatencyHistogram] = {}
         self._exporter: Exporter | None = None
 
     def counter(self, name: str, read: Callable[[], int]) -> None:
@@ -66,12 +69,16 @@
         """Add a counter with one label; `read` returns the value of each label value."""
         self._add(name, True, label, lambda: dict(read()))
 
+    def histogram(self, name: str, histogram: LatencyHistogram) -> None:
+        """Add a histogram of latencies in seconds."""
+        self._histograms[name] = histogram
+
     def text(self) -> bytes:
         """Return all metrics in Prometheus' text format."""
         if self._exporter is None:
             from lentilcourse.metrics_export import Exporter  # noqa: PLC0415
 
-            self._exporter = Exporter(attributes=self._attributes)
+            self._exporter = Exporter(attributes=self._attributes, histograms=self._histograms)
         self._exporter.add(self._waiting)
         self._waiting = []
         return self._exporter.text()
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -15,6 +15,7 @@
 import attrs
 
 from lentilcourse.catalogue import Catalogue, ServicePolicy
+from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
@@ -88,6 +89,7 @@
         began: when the record was made (monotonic seconds).
         seen: when its last packet passed.
         waiting: whether a request waits for the target's answer.
+        asked: when that request's first data passed.
         caller_closed: whether the caller has ended its side.
         target_closed: whether the target has ended its side.
     """
@@ -98,6 +100,7 @@
     began: float
     seen: float
     waiting: bool = False
+    asked: float = 0.0
     caller_closed: bool = False
     target_closed: bool = False
 
@@ -139,7 +142,14 @@
 
 
 class AgentFlows:
-    """All flows of one agent; methods may be called from any task."""
+    """All flows of one agent; methods may be called from any task.
+
+    Attributes:
+        counts: what was done with packets.
+        meter: load of the target.
+        handshakes: times from an opening packet to the target's acceptance.
+        answers: times from a request's first data to the first data of its answer.
+    """
 
     def __init__(
         self,
@@ -154,6 +164,8 @@
     ) -> None:
         self.counts = AgentFlowCounts()
         self.meter = LoadMeter(now=now)
+        self.handshakes = LatencyHistogram()
+        self.answers = LatencyHistogram()
         self._format = packet_format
         self._watch = watch
         self._peers = peers
@@ -334,6 +346,7 @@
             record.caller_closed = True
         if packet.data_bytes and not record.waiting:
             record.waiting = True
+            record.asked = now
             self.meter.change(1, now)
 
     def _deliver(self, packet: FlowPacket, envelope: Envelope) -> None:
@@ -359,6 +372,8 @@
                 state=FlowState.HELD, run=self._watch.run, balancer=("", 0), began=now, seen=now
             )
             self._flows[packet.flow] = record
+        if packet.accepting and record.state is FlowState.OFFERED:
+            self.handshakes.observe(now - record.began)
         newly = record.state is not FlowState.HELD or packet.accepting
         record.state = FlowState.HELD
         record.run = self._watch.run
@@ -367,6 +382,7 @@
             self._claim(packet.flow, record, now)
         if record.waiting and (packet.data_bytes or packet.resetting):
             record.waiting = False
+            self.answers.observe(now - record.asked)
             self.meter.change(-1, now)
         if packet.closing or packet.resetting:
             record.target_closed = True
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -199,6 +199,8 @@
     metrics.counters_of("lentilcourse.steering", agent.flows.counts)
     metrics.gauge("lentilcourse.steering.open_flows", lambda: agent.flows.open_flows)
     metrics.gauge("lentilcourse.steering.in_flight", lambda: agent.flows.meter.in_flight)
+    metrics.histogram("lentilcourse.steering.handshake", agent.flows.handshakes)
+    metrics.histogram("lentilcourse.steering.answer", agent.flows.answers)
     metrics.counter("lentilcourse.packets.malformed", agent.malformed)
     metrics.counter("lentilcourse.packets.unsent", agent.unsent)
     agent.start()
