--- a/features/platform.feature
+++ b/features/platform.feature
@@ -45,6 +45,8 @@
       | steering.registrations_follow_agents           |
       | steering.agent_without_target_is_not_waited_for |
       | steering.returned_packet_finds_its_target      |
+      | steering.whole_runs                            |
+      | steering.search_tries_no_other_target          |
       | logging.rate_is_bounded                        |
       | logging.nobody_reads                           |
       | logging.story_in_order                         |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -409,3 +409,23 @@
     assert len(holder.took) == 4
     assert len(world.targets[wrong].wrong) == 1
     assert world.resets() == []
+
+
+@prop("steering.whole_runs")
+def check_whole_runs():
+    """A process knows all flows of a run that it saw from the first announcement on."""
+    seen, late = (TargetWatch(address=HERE, life_s=2.0) for _ in range(2))
+    seen.offer(report(sequence=1), 0.0)
+    late.offer(report(sequence=2), 0.0)
+    assert seen.whole_run and not late.whole_run
+    late.offer(report(born=2, sequence=7), 1.0)
+    assert late.whole_run
+
+
+@prop("steering.search_tries_no_other_target")
+def check_search():
+    """A search for a flow tries only targets whose agents may have forgotten it."""
+    world = SteeringWorld(agents=5, balancers=2)
+    world.open_flow(1, "b1")
+    world.talk(1, "b2")
+    assert all(not target.wrong for target in world.targets.values())
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -8,7 +8,7 @@
 
 import random
 import struct
-from collections import deque
+from collections import Counter, deque
 
 import attrs
 
@@ -88,7 +88,7 @@
         self.watches = {}
         self.directories = {}
         self.copies = {}
-        self.sequence = 0
+        self.sequences = Counter()
         self.records = {}
         for number in range(1, agents + 1):
             name = f"a{number}"
@@ -179,11 +179,11 @@
 
     def announce(self, name, born=1, draining=False, cold_s=0.0):
         """Let a target announce itself."""
-        self.sequence += 1
+        self.sequences[name, born] += 1
         report = TargetReport(
             target_id=name,
             born_ms=born,
-            sequence=self.sequence,
+            sequence=self.sequences[name, born],
             service=self.records[name].service,
             address=Address(host="10.0.0.9", port=2),
             slots=1,
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -327,7 +327,7 @@
         age_s = now - self._started
         if self._watch.run == 0:
             return age_s < NO_TARGET_AFTER_S
-        return age_s < self._limits.flow_life_s and self._watch.run == 1
+        return age_s < self._limits.flow_life_s and not self._watch.whole_run
 
     def _assume(self, envelope: Envelope, packet: FlowPacket, now: float) -> FlowRecord:
         record = FlowRecord(
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -18,6 +18,7 @@
 from lentilcourse.options import Address
 
 COLD_WINDOW_S: Final = 1.0
+FIRST_SEQUENCE: Final = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -60,11 +61,14 @@
     Attributes:
         report: its last announcement; None before the first and after it has left.
         run: number of the run since the start of the agent, 0 before the first.
+        whole_run: whether this process has seen the run from its start, so that it knows of
+            every flow that the target holds.
     """
 
     def __init__(self, *, address: Address, life_s: float) -> None:
         self.report: TargetReport | None = None
         self.run = 0
+        self.whole_run = False
         self._address = address
         self._life_s = life_s
         self._heard = float("-inf")
@@ -83,6 +87,7 @@
         same = current is not None and _run_of(current) == _run_of(report)
         if not same:
             self.run += 1
+            self.whole_run = self.run > 1 or report.sequence <= FIRST_SEQUENCE
         self.report = report
         self._heard = now
         self._cold_until = now + report.cold_s
