--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -322,9 +322,10 @@
 @prop("steering.load_follows_requests")
 @given(st.integers(1, 6))
 def check_meter(in_flight):
-    """A constant number of requests in flight is the load after a while."""
+    """A queue counts in part at once, and whole after a while."""
     meter = LoadMeter(now=0.0)
     meter.change(in_flight, 0.0)
+    assert meter.load(2, 0.0) == in_flight / 4
     for tick in range(1, 40):
         load = meter.load(2, tick * 0.25)
     assert abs(load - in_flight / 2) < 0.05 * in_flight
--- a/lentilcourse/commands/explain.py
+++ b/lentilcourse/commands/explain.py
@@ -28,7 +28,7 @@
     :param flow: flow as CALLER:PORT>ENTRY:PORT, or CALLER:PORT alone
     :param change: number of a published catalogue
     :param id: any id that stands in the lines, such as a target's or a refusal's
-    :param around: seconds before and after in which beliefs of the processes are told too
+    :param around: seconds around it in which beliefs of the processes are told, 0 for none
     :param json: print JSON
     """
     if sum(map(bool, (flow, change, id))) != 1:
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -113,6 +113,8 @@
         self._to_caller = to_caller
         self._caller_port = caller_port
         self._rng = rng
+        self._carry_head = encode_envelope(Envelope(kind=Kind.CARRY, hops=0, balancer=own), b"")
+        self._seek_head = encode_envelope(Envelope(kind=Kind.SEEK, hops=0, balancer=own), b"")
         self._hints: dict[bytes, Hint] = {}
         self._denials: dict[bytes, Denials] = {}
         self._lock = threading.Lock()
@@ -133,7 +135,7 @@
             elif hint is not None:
                 hint.seen = now
                 self.counts.carried += 1
-                self._send(Kind.CARRY, packet, hint.owner)
+                self._to_peer(self._carry_head + packet.raw, hint.owner)
             else:
                 self._seek(packet)
 
@@ -207,17 +209,14 @@
         )
         self._to_peer(encode_envelope(envelope, packet.raw), owner)
 
-    def _send(self, kind: Kind, packet: FlowPacket, owner: tuple[str, int]) -> None:
-        envelope = Envelope(kind=kind, hops=0, balancer=self._own)
-        self._to_peer(encode_envelope(envelope, packet.raw), owner)
-
     def _seek(self, packet: FlowPacket) -> None:
         self.counts.sought += 1
         _log.info(
             "flow_sought", flow=flow_text(packet.flow), asked=len(self._peers.table().everyone)
         )
+        datagram = self._seek_head + packet.raw
         for peer in self._peers.table().everyone:
-            self._send(Kind.SEEK, packet, peer.address)
+            self._to_peer(datagram, peer.address)
 
     def _learn(self, notice: OwnerNotice, now: float) -> None:
         self._denials.pop(notice.flow, None)
--- a/lentilcourse/steering/load_meter.py
+++ b/lentilcourse/steering/load_meter.py
@@ -9,6 +9,9 @@
 SMOOTHING: Final = 0.35
 """Part of the newest sample in the smoothed load: about half a second of memory."""
 
+NOW_PART: Final = 0.5
+"""Part of the requests in flight now that counts at once: one more or less is no queue."""
+
 
 class LoadMeter:
     """Requests in flight for each slot, smoothed.
@@ -30,9 +33,12 @@
         self.in_flight = max(0, self.in_flight + difference)
 
     def load(self, slots: int, now: float) -> float:
-        """Return the smoothed requests in flight for each slot."""
+        """Return the smoothed requests in flight for each slot, or part of those now if more.
+
+        The smoothed figure alone is blind to a queue that has just formed.
+        """
         self._advance(now)
-        return self._smoothed / max(1, slots)
+        return max(self._smoothed, NOW_PART * self.in_flight) / max(1, slots)
 
     def _advance(self, now: float) -> None:
         self._area += self.in_flight * (now - self._last)
--- a/lentilcourse/story.py
+++ b/lentilcourse/story.py
@@ -119,7 +119,11 @@
 
 
 def find_story(lines: Iterable[LogLine], subject: Subject, around_s: float) -> list[LogLine]:
-    """Return the lines that name the subject and the beliefs around them, in order of time."""
+    """Return the lines that name the subject, in order of time.
+
+    With them come what the processes that wrote them believed up to `around_s` before and after;
+    nothing of it for 0.
+    """
     kept: list[LogLine] = []
     beliefs: list[LogLine] = []
     for line in lines:
@@ -127,7 +131,7 @@
             kept.append(line)
         elif line.event in BELIEF_EVENTS:
             beliefs.append(line)
-    if kept:
+    if kept and around_s > 0:
         kept.extend(_around(kept, beliefs, around_s))
     return sorted(kept, key=lambda line: line.at)
 
