--- a/features/deployments.py
+++ b/features/deployments.py
@@ -4,7 +4,7 @@
 
 import time
 
-from lentilcourse.changes import PutEntry
+from lentilcourse.actions import PutEntry
 from lentilcourse.lab.cluster import Cluster, wait_until
 from lentilcourse.lab.fabric import Fabric
 from lentilcourse.lab.request_load import check_executions
--- a/features/properties/admission.py
+++ b/features/properties/admission.py
@@ -6,6 +6,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from lentilcourse.actions import DrainTarget, SetDomain
 from lentilcourse.agent.admission import AdmissionView, Decline, cold_limit, decide_new_flow
 from lentilcourse.agent.pulse import (
     MIN_RECENT_SAMPLES,
@@ -16,7 +17,6 @@
 )
 from lentilcourse.agent.rate_window import RateWindow
 from lentilcourse.agent.target import TargetHealth
-from lentilcourse.changes import DrainTarget, SetDomain
 from lentilcourse.controller.shares import due_shares
 from lentilcourse.messages.state import Announcement, EntryUsage
 from lentilcourse.model import LIMIT_FIELDS, Limits, State, share_name
--- a/features/properties/catalogue.py
+++ b/features/properties/catalogue.py
@@ -6,8 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilcourse.buckets import BUCKETS, build_table
-from lentilcourse.changes import (
+from lentilcourse.actions import (
     ANY_VERSION,
     Change,
     DeleteEntry,
@@ -18,8 +17,9 @@
     RemoveTarget,
     SetDomain,
     Verdict,
-    decide_change,
 )
+from lentilcourse.buckets import BUCKETS, build_table
+from lentilcourse.changes import decide_change
 from lentilcourse.codec import pack_record, unpack_record
 from lentilcourse.controller.leases import LEASE_S, Lease, due_actions
 from lentilcourse.controller.machine import CatalogueMachine
--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
-from lentilcourse.changes import Change, PutEntry
+from lentilcourse.actions import Change, PutEntry
 from lentilcourse.controller.files import RECORD_HEADER, RecordFile, scan_records
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
 
+from lentilcourse.actions import DrainTarget, LoseTarget
 from lentilcourse.agent.flow_plane import FlowPlane
 from lentilcourse.agent.pulse import TargetPulse
 from lentilcourse.agent.target import TargetAnnouncement, TargetHealth
 from lentilcourse.balancer.packet_path import build_routes
 from lentilcourse.buckets import bucket_of
-from lentilcourse.changes import DrainTarget, LoseTarget
 from lentilcourse.model import State
 from lentilcourse.options import Address
 from lentilcourse.packets import build_udp, flow_key, parse_host, read_refusal
--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -12,15 +12,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lentilcourse.actions import ANY_VERSION, Change, PublishCatalogue, SetDomain, Verdict
 from lentilcourse.catalogue import Catalogue
-from lentilcourse.changes import (
-    ANY_VERSION,
-    Change,
-    PublishCatalogue,
-    SetDomain,
-    Verdict,
-    decide_change,
-)
+from lentilcourse.changes import decide_change
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.membership import (
--- a/features/properties/members.py
+++ b/features/properties/members.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from lentilcourse.changes import ANY_VERSION, JoinTarget, PutEntry, decide_change
+from lentilcourse.actions import ANY_VERSION, JoinTarget, PutEntry
+from lentilcourse.changes import decide_change
 from lentilcourse.model import apply_delta
 from properties.catalogue import as_change
 
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilcourse.changes import ForgetAgent, RegisterAgent
+from lentilcourse.actions import ForgetAgent, RegisterAgent
 from lentilcourse.controller.registrations import FORGET_AFTER_S, Registrations
 from lentilcourse.directory import (
     RECORD_LIFE_S,
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -23,7 +23,8 @@
     FLAG_SYN,
     PlatformPackets,
 )
-from lentilcourse.steering.agent_flows import AgentFlows, AgentLimits, AgentOutputs
+from lentilcourse.steering.admission import AgentLimits
+from lentilcourse.steering.agent_flows import AgentFlows, AgentOutputs
 from lentilcourse.steering.balancer_flows import BalancerFlows
 from lentilcourse.steering.datagrams import Kind, decode_kind, pack_address
 from lentilcourse.steering.peers import Peers
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -8,13 +8,13 @@
 from behave import given, then, when
 from deployments import SMALL, Deployment
 
-from lentilcourse.changes import PutEntry
+from lentilcourse.actions import PutEntry
 from lentilcourse.lab.cluster import read_metrics
 from lentilcourse.lab.request_load import RequestPlan, send_request
 from lentilcourse.lab.shapes import ADMIN_PORT, Layout
 from lentilcourse.messages.operators import AuditRequest
 from lentilcourse.operator_client import is_accepted
-from lentilcourse.options import load_settings
+from lentilcourse.settings_file import load_settings
 
 
 def deploy(context, cold_s=0.0, shape=SMALL, skip=()):
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 from deployments import CONTROL, Deployment
 
-from lentilcourse.changes import PutEntry, Verdict
+from lentilcourse.actions import PutEntry, Verdict
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.ids import new_id
 from lentilcourse.lab.cluster import wait_until
--- a/features/steps/flow_steps.py
+++ b/features/steps/flow_steps.py
@@ -16,7 +16,7 @@
 from control_steps import start_control
 from deployments import BOARD, SMALL
 
-from lentilcourse.changes import DeleteEntry, DrainTarget, PutEntry, SetDomain
+from lentilcourse.actions import DeleteEntry, DrainTarget, PutEntry, SetDomain
 from lentilcourse.commands.declared import as_put
 from lentilcourse.lab.cluster import read_metrics, wait_until
 from lentilcourse.lab.shapes import ADMIN_PORT, ServiceShape
--- a/features/steps/request_steps.py
+++ b/features/steps/request_steps.py
@@ -16,7 +16,7 @@
 from cluster_steps import deploy
 from flow_steps import SETTLE_S, accept, change_limits, read_metric
 
-from lentilcourse.changes import DrainTarget, SetDomain
+from lentilcourse.actions import DrainTarget, SetDomain
 from lentilcourse.lab.cluster import wait_until
 from lentilcourse.lab.request_load import (
     RequestLoad,
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -10,7 +10,7 @@
 
 from lentilcourse.errors import SettingsError
 from lentilcourse.lab.shapes import SAMAHAN, Layout, write_files
-from lentilcourse.options import load_settings
+from lentilcourse.settings_file import load_settings
 
 
 @given('the settings of "{process}"')
--- a/lentilcourse/commands/catalogue.py
+++ b/lentilcourse/commands/catalogue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lentilcourse.changes import DeleteEntry, DrainTarget, PutEntry
+from lentilcourse.actions import DeleteEntry, DrainTarget, PutEntry
 from lentilcourse.commands import COMMANDS
 from lentilcourse.commands.output import (
     DEFAULT_SETTINGS,
--- a/lentilcourse/commands/declared.py
+++ b/lentilcourse/commands/declared.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lentilcourse.changes import DeleteEntry, PutEntry
+from lentilcourse.actions import DeleteEntry, PutEntry
 from lentilcourse.commands import COMMANDS
 from lentilcourse.commands.output import (
     DEFAULT_SETTINGS,
--- a/lentilcourse/commands/domains.py
+++ b/lentilcourse/commands/domains.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from lentilcourse.changes import SetDomain
+from lentilcourse.actions import SetDomain
 from lentilcourse.commands import COMMANDS
 from lentilcourse.commands.output import (
     DEFAULT_SETTINGS,
--- a/lentilcourse/commands/output.py
+++ b/lentilcourse/commands/output.py
@@ -10,10 +10,10 @@
 import cattrs
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Outcome, Verdict
+from lentilcourse.actions import Outcome, Verdict
 from lentilcourse.errors import LentilcourseError, SettingsError
 from lentilcourse.operator_client import OperatorClient
-from lentilcourse.options import load_settings
+from lentilcourse.settings_file import load_settings
 
 EXIT_FAILED: Final = 1
 EXIT_SETTINGS: Final = 2
--- a/lentilcourse/controller/leases.py
+++ b/lentilcourse/controller/leases.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from lentilcourse.changes import Action, JoinTarget, LoseTarget, RemoveTarget
+from lentilcourse.actions import Action, JoinTarget, LoseTarget, RemoveTarget
 from lentilcourse.messages.state import Announcement
 from lentilcourse.model import State, Target, TargetState
 
--- a/lentilcourse/controller/machine.py
+++ b/lentilcourse/controller/machine.py
@@ -12,7 +12,8 @@
 
 import attrs
 
-from lentilcourse.changes import Change, Outcome, decide_change, subject, summarize
+from lentilcourse.actions import Change, Outcome, subject, summarize
+from lentilcourse.changes import decide_change
 from lentilcourse.codec import pack_record, unpack_record
 from lentilcourse.messages.operators import AuditRecord, AuditRequest
 from lentilcourse.model import State, StateDelta, apply_delta
--- a/lentilcourse/controller/progress.py
+++ b/lentilcourse/controller/progress.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from lentilcourse.changes import Change, Outcome
+from lentilcourse.actions import Change, Outcome
 from lentilcourse.messages.consensus import Member, Membership
 
 
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -14,7 +14,7 @@
 from typing import Final
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Change, Outcome
+from lentilcourse.actions import Change, Outcome
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import member_address
--- a/lentilcourse/controller/registrations.py
+++ b/lentilcourse/controller/registrations.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection
 from typing import Final
 
-from lentilcourse.changes import Action, ForgetAgent, RegisterAgent
+from lentilcourse.actions import Action, ForgetAgent, RegisterAgent
 from lentilcourse.directory import STATE_IDLE, AgentRecord
 from lentilcourse.model import State
 
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -22,7 +22,7 @@
 from typing import Final, TypeAlias
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Change, Outcome, change_size
+from lentilcourse.actions import Change, Outcome, change_size
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.controller.log_store import LogStore, Snapshot, Vote
 from lentilcourse.controller.machine import CatalogueMachine
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -13,9 +13,7 @@
 import attrs
 
 from lentilcourse import error_texts
-from lentilcourse.admin import AdminServer
-from lentilcourse.catalogue import Catalogue
-from lentilcourse.changes import (
+from lentilcourse.actions import (
     ANY_VERSION,
     SYSTEM_OPERATOR,
     UNKNOWN_OPERATOR,
@@ -27,6 +25,8 @@
     RefusedAccess,
     SetDomain,
 )
+from lentilcourse.admin import AdminServer
+from lentilcourse.catalogue import Catalogue
 from lentilcourse.clocks import MS_PER_S, wall_clock_ms
 from lentilcourse.controller.directory_relay import DirectoryRelay
 from lentilcourse.controller.formation import (
--- a/lentilcourse/controller/shares.py
+++ b/lentilcourse/controller/shares.py
@@ -11,8 +11,8 @@
 
 import attrs
 
+from lentilcourse.actions import SetShares
 from lentilcourse.buckets import takes_new_work
-from lentilcourse.changes import SetShares
 from lentilcourse.messages.state import Announcement
 from lentilcourse.model import LIMIT_FIELDS, Entry, Limits, LimitShare, State, Target, share_name
 
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -13,9 +13,10 @@
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import configure_logging, flush_logs, get_logger, lines_dropped
 from lentilcourse.metrics import Metrics
-from lentilcourse.options import Settings, load_settings
+from lentilcourse.options import Settings
 from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
+from lentilcourse.settings_file import load_settings
 from lentilcourse.streams import TRAFFIC, start_heartbeats
 
 EXIT_FAILED: Final = 1
--- a/lentilcourse/lab/bench/control.py
+++ b/lentilcourse/lab/bench/control.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from lentilcourse.changes import Change, PutEntry
+from lentilcourse.actions import Change, PutEntry
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.kernel.lifecycle import Lifecycle
--- a/lentilcourse/lab/bench/faults.py
+++ b/lentilcourse/lab/bench/faults.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from lentilcourse.changes import SetDomain
+from lentilcourse.actions import SetDomain
 from lentilcourse.lab.bench.figures import MEASUREMENTS, Figure
 from lentilcourse.lab.cluster import Cluster, wait_until
 from lentilcourse.lab.demo import FlowDriver
--- a/lentilcourse/lab/bench/packets.py
+++ b/lentilcourse/lab/bench/packets.py
@@ -14,13 +14,14 @@
 
 from xxhash import xxh3_64_intdigest
 
+from lentilcourse.actions import ANY_VERSION, Action, Change, JoinTarget, PutEntry
 from lentilcourse.agent.delivery_udp import open_udp_channel
 from lentilcourse.agent.flow_plane import FlowPlane
 from lentilcourse.agent.flow_table import Flow
 from lentilcourse.agent.pulse import TargetPulse
 from lentilcourse.agent.target import TargetAnnouncement, TargetHealth, TargetMonitor
 from lentilcourse.balancer.packet_path import PacketPath, build_routes
-from lentilcourse.changes import ANY_VERSION, Action, Change, JoinTarget, PutEntry, decide_change
+from lentilcourse.changes import decide_change
 from lentilcourse.geneve import PLAIN_HEADER
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.lab.bench.figures import MEASUREMENTS, Figure
--- a/lentilcourse/lab/cluster.py
+++ b/lentilcourse/lab/cluster.py
@@ -31,7 +31,7 @@
     write_files,
 )
 from lentilcourse.operator_client import OperatorClient, is_accepted
-from lentilcourse.options import load_settings
+from lentilcourse.settings_file import load_settings
 
 READY_TIMEOUT_S: Final = 40.0
 STOP_TIMEOUT_S: Final = 15.0
--- a/lentilcourse/lab/demo.py
+++ b/lentilcourse/lab/demo.py
@@ -17,7 +17,7 @@
 import attrs
 import defopt
 
-from lentilcourse.changes import DrainTarget, SetDomain
+from lentilcourse.actions import DrainTarget, SetDomain
 from lentilcourse.lab.cluster import Cluster
 from lentilcourse.lab.fabric import Fabric
 from lentilcourse.lab.request_load import (
--- a/lentilcourse/lab/shapes.py
+++ b/lentilcourse/lab/shapes.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from lentilcourse.changes import PutEntry
+from lentilcourse.actions import PutEntry
 
 CONTROLLER_PORT: Final = 7100
 BALANCER_PACKET_PORT: Final = 6081
--- a/lentilcourse/messages/consensus.py
+++ b/lentilcourse/messages/consensus.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lentilcourse.changes import Action, Change, Outcome
+from lentilcourse.actions import Action, Change, Outcome
 from lentilcourse.codec import register_union
 from lentilcourse.messages.base import message
 
--- a/lentilcourse/messages/operators.py
+++ b/lentilcourse/messages/operators.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from lentilcourse.changes import Action
+from lentilcourse.actions import Action
 from lentilcourse.messages.base import message
 from lentilcourse.messages.consensus import Member, Membership
 from lentilcourse.messages.state import Report
--- a/lentilcourse/operator_client.py
+++ b/lentilcourse/operator_client.py
@@ -10,7 +10,7 @@
 from typing import Final, TypeVar
 
 from lentilcourse import error_texts
-from lentilcourse.changes import Action, Outcome, Verdict
+from lentilcourse.actions import Action, Outcome, Verdict
 from lentilcourse.errors import (
     AuthenticationError,
     ChangeRefusedError,
--- a/lentilcourse/platform/operator_calls.py
+++ b/lentilcourse/platform/operator_calls.py
@@ -6,8 +6,8 @@
 from typing import Final
 from urllib.parse import unquote
 
+from lentilcourse.actions import Action, PublishCatalogue, SetDomain, Verdict, summarize
 from lentilcourse.admin import AdminAnswer, AdminServer
-from lentilcourse.changes import Action, PublishCatalogue, SetDomain, Verdict, summarize
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.controller.role import OPERATOR_INTERFACES, Controller, own_change
 from lentilcourse.errors import LentilcourseError
--- a/lentilcourse/platform/process.py
+++ b/lentilcourse/platform/process.py
@@ -11,7 +11,7 @@
 
 from lentilcourse.daemon import EXIT_SETTINGS, run_process
 from lentilcourse.errors import SettingsError
-from lentilcourse.options import load_settings
+from lentilcourse.settings_file import load_settings
 
 SETTINGS_VARIABLE: Final = "LENTILCOURSE_SETTINGS"
 
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -7,17 +7,22 @@
 
 from __future__ import annotations
 
-import enum
 import threading
 from collections.abc import Callable
 from typing import Final
 
 import attrs
 
-from lentilcourse.catalogue import Catalogue, ServicePolicy
 from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
 from lentilcourse.model import State
+from lentilcourse.steering.admission import (
+    AgentLimits,
+    Decline,
+    cold_openings,
+    entry_allows,
+    find_policy,
+)
 from lentilcourse.steering.datagrams import (
     DenialNotice,
     Envelope,
@@ -30,18 +35,17 @@
     flow_text,
     service_key,
 )
+from lentilcourse.steering.flow_records import AgentFlowCounts, FlowRecord, FlowState, is_over
 from lentilcourse.steering.load_meter import LoadMeter
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
 from lentilcourse.steering.peers import Peers, next_candidate
-from lentilcourse.steering.routes import Route, Routes
+from lentilcourse.steering.routes import Routes
 from lentilcourse.steering.target_watch import TargetWatch
 
 MAX_HOPS: Final = 6
 """Agents that may pass an opening packet on before the flow is refused."""
 BALANCER_LIFE_S: Final = 3.0
 """Time after a packet from a balancer for which it is told this agent's load."""
-CLOSED_LIFE_S: Final = 3.0
-"""Time for which a closed flow is remembered, for late copies of its last packets."""
 NO_TARGET_AFTER_S: Final = 2.5
 """Time after the start without an announcement after which there is no target: two of the
 longest intervals of announcements."""
@@ -53,86 +57,6 @@
 _log = get_logger(__name__)
 
 
-class Decline(enum.Enum):
-    """Why an agent's target does not take a new flow."""
-
-    NO_TARGET = "no-target"
-    DRAINING = "draining"
-    NO_STATE = "no-state"
-    DOMAIN_OUT = "domain-out"
-    WRONG_SERVICE = "wrong-service"
-    CONNECTIONS = "connections"
-    COLD = "cold"
-    TARGET_FULL = "target-full"
-
-
-class FlowState(enum.Enum):
-    """What the agent knows of a flow.
-
-    ASSUMED: a balancer believes that the target holds it. OFFERED: the opening packet was
-    delivered. HELD: the target has sent packets of it.
-    """
-
-    ASSUMED = "assumed"
-    OFFERED = "offered"
-    HELD = "held"
-
-
-@attrs.define(kw_only=True, slots=True)
-class FlowRecord:
-    """One flow at this agent.
-
-    Attributes:
-        state: what is known of it.
-        run: run of the target that it belongs to.
-        balancer: balancer that took its last packet.
-        began: when the record was made (monotonic seconds).
-        seen: when its last packet passed.
-        waiting: whether a request waits for the target's answer.
-        asked: when that request's first data passed.
-        caller_closed: whether the caller has ended its side.
-        target_closed: whether the target has ended its side.
-    """
-
-    state: FlowState
-    run: int
-    balancer: tuple[str, int]
-    began: float
-    seen: float
-    waiting: bool = False
-    asked: float = 0.0
-    caller_closed: bool = False
-    target_closed: bool = False
-
-
-@attrs.define(kw_only=True)
-class AgentFlowCounts:
-    """What the agent has done with packets since its start."""
-
-    opened: int = 0
-    delivered: int = 0
-    answered: int = 0
-    passed_on: int = 0
-    refused: int = 0
-    returned: int = 0
-    sought: int = 0
-    claimed: int = 0
-    denied: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class AgentLimits:
-    """Limits from the settings: see `SteeringAgentSettings`."""
-
-    cold_overrun: float
-    cold_slack: int
-    flow_life_s: float
-    domain: str
-    own: tuple[str, int]
-    target: tuple[str, int]
-    caller_port: int
-
-
 @attrs.frozen(kw_only=True)
 class AgentOutputs:
     """Where datagrams go: to balancers and agents, to the target, and to callers."""
@@ -481,38 +405,3 @@
         if record is not None and record.waiting:
             self.meter.change(-1, now)
         return record
-
-
-def find_policy(catalogue: Catalogue, service: str) -> ServicePolicy | None:
-    """Return the policy of a service."""
-    return next((each for each in catalogue.services if each.name == service), None)
-
-
-def cold_openings(policy: ServicePolicy | None, limits: AgentLimits) -> int | None:
-    """Return how many openings in one second a cold target takes, None for no limit.
-
-    One less than is allowed, for an opening packet that a target takes twice.
-    """
-    if policy is None or policy.cold_rate == 0:
-        return None
-    return max(1, int(policy.cold_rate * limits.cold_overrun) + limits.cold_slack - 1)
-
-
-def is_over(record: FlowRecord, idle_s: float, now: float) -> bool:
-    """Return whether a flow may be forgotten."""
-    closed = record.caller_closed and record.target_closed
-    return now - record.seen > (CLOSED_LIFE_S if closed else idle_s)
-
-
-def entry_allows(route: Route | None, envelope: Envelope, number: int, service: str) -> bool:
-    """Return whether a flow of an entry may go to a service.
-
-    A balancer with a newer catalogue than `number` has decided by that one; otherwise the
-    route of the catalogue here decides.
-    """
-    key = service_key(service)
-    if envelope.service != key:
-        return False
-    if envelope.catalogue > number:
-        return True
-    return route is not None and key in route.keys
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -21,7 +21,8 @@
 from lentilcourse.options import SteeringAgentSettings
 from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
-from lentilcourse.steering.agent_flows import AgentFlows, AgentLimits, AgentOutputs
+from lentilcourse.steering.admission import AgentLimits
+from lentilcourse.steering.agent_flows import AgentFlows, AgentOutputs
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import Following, follow
 from lentilcourse.steering.packet_format import PACKET_FORMATS
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -32,7 +32,8 @@
     Subscribe,
 )
 from lentilcourse.model import State, StateDelta, apply_delta
-from lentilcourse.options import Address, Settings, load_settings, parse_address
+from lentilcourse.options import Address, Settings, parse_address
+from lentilcourse.settings_file import load_settings
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 REPORT_INTERVAL_S: Final = 0.4
