Give up connections to dark VMs after 0.3 s; exchange the directory at once after a start

Ruled out: the election (0.2 s), announcements of targets (all within 0.1 s of each other). Change: 0.3 s for a connection to open; relays of the directory start within 0.1 s. Tests that failed first: streams.dark_peer_is_given_up_soon, formation.restarted_controllers_ exchange_agents_at_once.

--- a/features/control.feature
+++ b/features/control.feature
@@ -25,6 +25,7 @@
       | streams.unread_messages_are_kept      |
       | streams.unread_silence_is_noticed     |
       | streams.away_reader_is_not_late       |
+      | streams.dark_peer_is_given_up_soon    |
 
   Scenario Outline: Changes survive a leader that is "<fault>"
     Given a control deployment
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -47,6 +47,7 @@
       | steering.returned_packet_finds_its_target      |
       | steering.whole_runs                            |
       | steering.search_tries_no_other_target          |
+      | formation.restarted_controllers_exchange_agents_at_once |
       | logging.rate_is_bounded                        |
       | logging.nobody_reads                           |
       | logging.story_in_order                         |
--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -4,9 +4,12 @@
 
 import random
 import shutil
+import socket
 import tempfile
 import threading
+import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import attrs
 from hypothesis import given, settings
@@ -15,6 +18,7 @@
 from lentilcourse.actions import ANY_VERSION, Change, PublishCatalogue, SetDomain, Verdict
 from lentilcourse.catalogue import Catalogue
 from lentilcourse.changes import decide_change
+from lentilcourse.controller.directory_relay import RELAY_REFRESH_S, DirectoryRelay
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.membership import (
@@ -25,9 +29,14 @@
 from lentilcourse.controller.progress import PeerView, Role
 from lentilcourse.controller.quorum import changed_membership, quorum_size
 from lentilcourse.controller.replica import MAX_BATCH_BYTES, Replica, bounded_batch
+from lentilcourse.directory import AgentNotice, AgentRecord, Directory
 from lentilcourse.errors import WrongReplicaError
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.messages.base import Done
 from lentilcourse.messages.consensus import LogEntry, Member, Membership
 from lentilcourse.model import State, apply_delta
+from lentilcourse.options import Address
+from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, StreamListener
 from properties import prop
 
 TIMEOUT_S = 0.6
@@ -325,3 +334,62 @@
     except WrongReplicaError:
         return
     raise AssertionError("answered for another replica")
+
+
+@prop("formation.restarted_controllers_exchange_agents_at_once")
+def check_relay():
+    """What one controller hears reaches another that starts a little later, well within 1 s."""
+    lifecycle = Lifecycle()
+    known, heard = Directory(), Directory()
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = Address(host="127.0.0.1", port=sock.getsockname()[1])
+    key = b"0123456789abcdef"
+    other = Member(replica_id="b", name="b", address=str(address), voter=True)
+    replica = SimpleNamespace(
+        replica_id="a", membership=lambda: Membership(members=(member("a"), other))
+    )
+    relay = DirectoryRelay(
+        replica=replica,
+        identity=Identity(name="a", kind=KIND_PROCESS, key=key),
+        known=known,
+        lifecycle=lifecycle,
+    )
+
+    def serve(stream):
+        while True:
+            heard.offer(stream.receive().notices, time.monotonic())
+            stream.send(Done())
+
+    tasks = lifecycle.pool(name="test", limit=4)
+    try:
+        relay.take_direct(AgentNotice(record=agent_record()), time.monotonic())
+        tasks.submit(relay.run)
+        time.sleep(0.25)
+        listener = StreamListener(
+            name="b",
+            address=address,
+            keys=KeyRing(cluster_key=key),
+            pool=tasks,
+            lifecycle=lifecycle,
+            serve=serve,
+        )
+        tasks.submit(listener.run)
+        began = time.monotonic()
+        while not heard.records() and time.monotonic() - began < 5.0:
+            time.sleep(0.01)
+        assert time.monotonic() - began < RELAY_REFRESH_S / 2
+    finally:
+        lifecycle.stopped.set()
+
+
+def agent_record():
+    """Return a record of an agent."""
+    return AgentRecord(
+        name="a1",
+        address=Address(host="10.0.0.1", port=1),
+        service="board",
+        domain="d",
+        state="serving",
+        slots=1,
+    )
--- a/features/properties/streams.py
+++ b/features/properties/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -11,7 +12,14 @@
 from lentilcourse.errors import StreamError
 from lentilcourse.messages.base import Heartbeat
 from lentilcourse.messages.operators import StateRequest, StatusRequest
-from lentilcourse.streams import HEARTBEAT_DEADLINE_S, Stream
+from lentilcourse.options import Address
+from lentilcourse.streams import (
+    HEARTBEAT_DEADLINE_S,
+    KIND_PROCESS,
+    Identity,
+    Stream,
+    connect_stream,
+)
 from properties import prop
 
 MESSAGES = (Heartbeat(), StateRequest(), StatusRequest())
@@ -81,3 +89,31 @@
         raise AssertionError("a message came from nowhere")
     finally:
         far.close()
+
+
+@prop("streams.dark_peer_is_given_up_soon")
+def check_dark_peer():
+    """A peer that does not answer the opening packet is given up well within its resend.
+
+    A listener whose queue of new connections is full drops opening packets, as a VM without
+    power does.
+    """
+    identity = Identity(name="a", kind=KIND_PROCESS, key=b"0123456789abcdef")
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        host, port = listener.getsockname()
+        began = time.monotonic()
+        try:
+            connect_stream(Address(host=host, port=port), identity)
+        except StreamError:
+            assert time.monotonic() - began < 0.6
+        else:
+            raise AssertionError("connected to a listener with a full queue")
+        finally:
+            for sock in waiting:
+                sock.close()
--- a/lentilcourse/controller/directory_relay.py
+++ b/lentilcourse/controller/directory_relay.py
@@ -20,7 +20,9 @@
 
 MAX_PEERS: Final = 32
 RELAY_CHECK_S: Final = 0.1
+"""Interval in which changes are looked for, and lost or new members are connected to."""
 RELAY_REFRESH_S: Final = 1.0
+"""Longest pause between two lists to one member."""
 
 
 class DirectoryRelay:
@@ -45,7 +47,7 @@
 
     def run(self) -> None:
         """Start a task for each new member until the process has stopped."""
-        while not self._lifecycle.stopped.wait(timeout=RELAY_REFRESH_S):
+        while not self._lifecycle.stopped.wait(timeout=RELAY_CHECK_S):
             self._known.expire(time.monotonic())
             for member in self._replica.membership().members:
                 self._start(member)
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -41,6 +41,9 @@
 
 HEARTBEAT_INTERVAL_S: Final = 0.5
 HEARTBEAT_DEADLINE_S: Final = 2.0
+CONNECT_TIMEOUT_S: Final = 0.3
+"""Time for a connection to open: several round trips between regions. A VM that is down answers
+nothing, and a lost opening packet is sent again only after a second."""
 HANDSHAKE_TIMEOUT_S: Final = 1.0
 HANDSHAKE_MAX_BYTES: Final = 4096
 NONCE_BYTES: Final = 16
@@ -255,10 +258,11 @@
 def connect_stream(address: Address, identity: Identity) -> Stream:
     """Open a stream to `address` and prove `identity`; raises `StreamError`."""
     try:
-        sock = socket.create_connection(address.pair(), timeout=HANDSHAKE_TIMEOUT_S)
+        sock = socket.create_connection(address.pair(), timeout=CONNECT_TIMEOUT_S)
     except OSError as exc:
         text = error_texts.STREAM_FAILED.format(peer=address, cause=exc)
         raise StreamClosedError(text) from exc
+    sock.settimeout(HANDSHAKE_TIMEOUT_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     stream = Stream(sock=sock, remote=str(address))
     try:
