Replace a voter whose folder is lost in one step

Cause: a learner was promoted and the dead voter removed afterwards; with four voters of which one is dead, a second folder lost in between left the group without a quorum for good. Ruled out: removing first (two voters need both), a longer wait. Change: changed_membership "replace"; the leader makes due changes without a pause between them. Before: consensus.second_loss_right_after_a_repair fails ("the group did not become whole"). After: it passes, as does the stateful walk without an operator (40 runs of 40 steps).

--- a/features/control.feature
+++ b/features/control.feature
@@ -6,6 +6,8 @@
     Examples:
       | property                              |
       | consensus.log_never_reverts           |
+      | consensus.group_repairs_itself        |
+      | consensus.second_loss_right_after_a_repair |
       | consensus.quorum                      |
       | consensus.torn_log_never_votes        |
       | consensus.short_log_never_leads       |
--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -17,6 +17,7 @@
 from lentilcourse.controller.files import RECORD_HEADER, RecordFile, scan_records
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
+from lentilcourse.controller.membership import due_membership_change
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.quorum import committed_index, quorum_size
 from lentilcourse.controller.replica import Replica
@@ -41,6 +42,11 @@
     sent: float
 
 
+def address_of(name):
+    """Return the address of a controller, whatever its data folder is."""
+    return f"127.0.0.1:{1 + NAMES.index(name)}"
+
+
 class GroupMachine(RuleBasedStateMachine):
     """Three controllers on real data folders and a network that does what it likes."""
 
@@ -66,7 +72,7 @@
                 Member(
                     replica_id=self.replicas[name].replica_id,
                     name=name,
-                    address="127.0.0.1:1",
+                    address=address_of(name),
                     voter=True,
                 )
                 for name in NAMES
@@ -285,7 +291,7 @@
         members = leader.membership().members
         stale = [each for each in members if each.name == name and each.replica_id != own]
         known = leader.membership().find(own)
-        fresh = Member(replica_id=own, name=name, address="127.0.0.1:1", voter=False)
+        fresh = Member(replica_id=own, name=name, address=address_of(name), voter=False)
         step = ("remove", stale[0]) if stale else ("add", fresh)
         if known is not None:
             step = ("promote", known)
@@ -316,6 +322,90 @@
             assert states.setdefault(state.version, state) == state
 
 
+class SelfRepairMachine(GroupMachine):
+    """The same group without an operator: it replaces lost folders by itself.
+
+    A folder may be lost as soon as the former loss has been made good, however long the dead
+    replica is still a member.
+    """
+
+    @rule(name=st.sampled_from(NAMES))
+    def repair(self, name):
+        """Let a replica outside the group ask to join, and the leader do what is due."""
+        leader = next((r for r in self.replicas.values() if r.role is Role.LEADER), None)
+        if leader is None:
+            return
+        own = self.replicas[name].replica_id
+        change = due_membership_change(leader.peer_views(self.now), leader.replica_id, len(NAMES))
+        step = (change.verb, change.member) if change is not None else None
+        if leader.membership().find(own) is None:
+            fresh = Member(replica_id=own, name=name, address=address_of(name), voter=False)
+            step = ("add", fresh)
+        if step is None:
+            return
+        try:
+            leader.propose_membership(*step, self.now)
+        except (ChangeRefusedError, NotLeaderError):
+            return
+        leader.write_proposals(self.now)
+
+    def make_good(self):
+        """Let the group repair itself for as long as it takes; it must become whole again."""
+        for turn in range(40):
+            self.expire(NAMES[turn % len(NAMES)])
+            self.settle(None)
+            for name in NAMES:
+                self.repair(name)
+                self.settle(None)
+            if not any(self.is_impaired(name) for name in NAMES) and self.is_exact():
+                return
+        raise AssertionError("the group did not become whole")
+
+    def is_exact(self):
+        """Return whether the leader's membership is the three living replicas, all voters."""
+        leader = next((r for r in self.replicas.values() if r.role is Role.LEADER), None)
+        if leader is None:
+            return False
+        members = leader.membership().members
+        living = {replica.replica_id for replica in self.replicas.values()}
+        return {each.replica_id for each in members if each.voter} == living
+
+    def teardown(self):
+        self.make_good()
+        super().teardown()
+
+
+@prop("consensus.group_repairs_itself")
+def check_self_repair():
+    """Under loss of folders, one after the other, accepted changes stay and repair ends."""
+    run_state_machine_as_test(
+        SelfRepairMachine, settings=settings(max_examples=40, stateful_step_count=40)
+    )
+
+
+@prop("consensus.second_loss_right_after_a_repair")
+def check_second_loss():
+    """A folder is lost in the moment in which the former loss is made good; all is repaired."""
+    for first, second in (("b", "c"), ("c", "b"), ("b", "a")):
+        machine = SelfRepairMachine()
+        try:
+            machine.propose(count=3, cut=None, wait=True)
+            machine.lose_folder(first)
+            for _ in range(40):
+                machine.settle(None)
+                machine.repair(first)
+                machine.settle(None)
+                if not machine.is_impaired(first):
+                    break
+            machine.lose_folder(second)
+            machine.accepted_changes_stay()
+            machine.make_good()
+            machine.propose(count=1, cut=None, wait=True)
+            machine.accepted_changes_stay()
+        finally:
+            machine.teardown()
+
+
 @prop("consensus.log_never_reverts")
 def check_group():
     """Committed entries never change, one leader a term, accepted changes stay."""
--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -70,7 +70,7 @@
     ),
     "folder lost": (
         [view("a"), view("b"), view("c", 1.0), view("c2", voter=False, address="c:1")],
-        ("promote", "c2"),
+        ("replace", "c2"),
     ),
     "folder lost, promoted": (
         [view("a"), view("b"), view("c", 1.0), view("c2", address="c:1")],
@@ -112,7 +112,7 @@
         known.append(view(f"p{index}", silence, voter, caught_up))
     voters = sum(each.member.voter for each in known)
     change = due_membership_change(tuple(known), "a", wanted)
-    if change is None or change.verb == "promote" or not change.member.voter:
+    if change is None or change.verb != "remove" or not change.member.voter:
         return
     assert change.member.replica_id != "a"
     assert voters > wanted
--- a/lentilcourse/controller/formation.py
+++ b/lentilcourse/controller/formation.py
@@ -120,7 +120,8 @@
         """Do what is due now."""
         if self._replica.role is Role.LEADER:
             self._last_leader = now
-            self._repair(now)
+            while self._repair(time.monotonic()):
+                continue
             return
         if self._replica.leader_id:
             self._last_leader = now
@@ -153,18 +154,20 @@
         leads = self._replica.role is Role.LEADER
         return JoinReply(added=added and leads, addresses=addresses)
 
-    def _repair(self, now: float) -> None:
+    def _repair(self, now: float) -> bool:
+        """Make the change of the membership that is due; returns whether there was one."""
         views = self._replica.peer_views(now)
         change = due_membership_change(views, self._replica.replica_id, self._discovery.voters)
         if change is None:
-            return
+            return False
         try:
             fut = self._replica.propose_membership(change.verb, change.member, now)
         except ChangeRefusedError as exc:
             _log.debug("membership_change_waits", verb=change.verb, error=str(exc))
-            return
+            return False
         fut.result(timeout=PROPOSAL_TIMEOUT_S)
         _log.info("membership_changed", verb=change.verb, member=change.member.replica_id)
+        return True
 
     def _may_found(self) -> bool:
         seeds = self._discovery.seeds
--- a/lentilcourse/controller/membership.py
+++ b/lentilcourse/controller/membership.py
@@ -2,7 +2,8 @@
 
 A group that finds its members by seeds replaces lost replicas by itself. The rules:
 
-- A learner that has caught up becomes a voter when a voter is missing, lost or superseded.
+- A learner that has caught up takes the place of the voter that it supersedes in one step.
+- A learner that has caught up becomes a voter when a voter is missing or lost.
 - A voter is removed only while more than the wanted number vote, so that the quorum never
   shrinks below that of the wanted number; superseded voters go first, then lost ones.
 - A voter is superseded when another member has its address: its data folder is gone.
@@ -28,7 +29,7 @@
 
 @attrs.frozen(kw_only=True)
 class MembershipChange:
-    """One change; `verb` is "promote" or "remove"."""
+    """One change; `verb` is "replace", "promote" or "remove", as in `changed_membership`."""
 
     verb: str
     member: Member
@@ -42,6 +43,9 @@
     leavers = [view for view in voters if _may_leave(view, views, leader_id)]
     if len(voters) > wanted_voters and leavers:
         return MembershipChange(verb="remove", member=_first_to_leave(leavers, views).member)
+    successor = _successor(views, leader_id)
+    if successor is not None:
+        return MembershipChange(verb="replace", member=successor.member)
     learner = _best_learner(views)
     if learner is not None and (len(voters) < wanted_voters or leavers):
         return MembershipChange(verb="promote", member=learner.member)
@@ -64,12 +68,27 @@
     return max(leavers, key=lambda view: (is_superseded(view, views), view.silence_s))
 
 
-def _best_learner(views: tuple[PeerView, ...]) -> PeerView | None:
-    live = [
+def _successor(views: tuple[PeerView, ...], leader_id: str) -> PeerView | None:
+    """Return a learner that lives at the address of a superseded voter."""
+    replaced = {
+        view.member.address
+        for view in views
+        if view.member.voter and view.member.replica_id != leader_id and is_superseded(view, views)
+    }
+    fitting = [view for view in _live_learners(views) if view.member.address in replaced]
+    return min(fitting, key=lambda view: view.member.replica_id, default=None)
+
+
+def _live_learners(views: tuple[PeerView, ...]) -> list[PeerView]:
+    return [
         view
         for view in views
         if not view.member.voter and view.caught_up and view.silence_s <= LEARNER_LIVE_S
     ]
+
+
+def _best_learner(views: tuple[PeerView, ...]) -> PeerView | None:
+    live = _live_learners(views)
     return min(live, key=lambda view: view.member.replica_id, default=None)
 
 
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -416,7 +416,7 @@
     def _require_safe_membership(
         self, verb: str, member: Member, wanted: Membership, now: float
     ) -> None:
-        if verb == "promote":
+        if verb in ("promote", "replace"):
             progress = self._peers.get(member.replica_id)
             if progress is None or progress.match_index < self.commit_index:
                 raise ChangeRefusedError(error_texts.LEARNER_BEHIND.format(name=member.name))
