--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -28,6 +28,7 @@
     Envelope,
     Kind,
     OwnerNotice,
+    Send,
     decode_envelope,
     encode_denial,
     encode_envelope,
@@ -52,8 +53,6 @@
 HOP_BITS: Final = 4
 HOP_MASK: Final = (1 << HOP_BITS) - 1
 
-Send = Callable[[bytes, tuple[str, int]], None]
-
 _log = get_logger(__name__)
 
 
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -21,6 +21,7 @@
     Envelope,
     Kind,
     OwnerNotice,
+    Send,
     decode_denial,
     decode_kind,
     decode_owner,
@@ -42,8 +43,6 @@
 
 _log = get_logger(__name__)
 
-Send = Callable[[bytes, tuple[str, int]], None]
-
 
 @attrs.define(kw_only=True, slots=True)
 class Hint:
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -9,6 +9,7 @@
 import enum
 import socket
 import struct
+from collections.abc import Callable
 from functools import lru_cache
 from typing import Final
 
@@ -19,6 +20,9 @@
 from lentilcourse.errors import PacketError
 from lentilcourse.options import Address
 
+Send = Callable[[bytes, tuple[str, int]], None]
+"""Sends a datagram to a host and port."""
+
 HEADER: Final = struct.Struct(">BB4sHQ8s")
 OWNER: Final = struct.Struct(">H12s4sH")
 DENIAL: Final = struct.Struct(">12s4sH")
