Pace searches, ask many agents for denials only when asked again; send the directory by changes

Change: one search for a flow at a time, with the packets that follow kept for its owner; pauses that double; denials by more than 20 agents only at a repeated search; changed records only.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -48,6 +48,8 @@
       | steering.whole_runs                            |
       | steering.search_tries_no_other_target          |
       | formation.restarted_controllers_exchange_agents_at_once |
+      | steering.searches_are_paced |
+      | steering.many_agents_deny_only_when_asked_again |
       | logging.rate_is_bounded                        |
       | logging.nobody_reads                           |
       | logging.story_in_order                         |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -22,7 +22,8 @@
 )
 from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
-from lentilcourse.platform.packets import FLAG_SYN
+from lentilcourse.platform.packets import FLAG_ACK, FLAG_SYN
+from lentilcourse.steering.balancer_flows import MAX_DENIALS_AT_ONCE, SEARCH_PAUSE_S
 from lentilcourse.steering.load_meter import LoadMeter
 from lentilcourse.steering.peers import Peer
 from lentilcourse.steering.placement import (
@@ -430,3 +431,40 @@
     world.open_flow(1, "b1")
     world.talk(1, "b2")
     assert all(not target.wrong for target in world.targets.values())
+
+
+@prop("steering.searches_are_paced")
+@given(st.integers(0, 1000), st.integers(2, 16))
+def check_pace(seed, packets):
+    """However many packets come, a flow is searched for once, and all reach its target in order.
+
+    The answers are late, as on a link that is full: without a pace each packet would be sent to
+    every agent, which fills the link further.
+    """
+    world = SteeringWorld(agents=6, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    taken = len(holder.took)
+    balancer = world.balancers["b2"]
+    for number in range(packets):
+        raw = packet(caller(1), FLAG_ACK, bytes((number,)), ack=5)
+        balancer.on_caller(raw, world.now + number * 0.001)
+    assert len(world.queue) == len(world.agents)
+    world.settle()
+    assert [raw[34:] for raw in holder.took[taken:]] == [bytes((n,)) for n in range(packets)]
+    assert balancer.counts.sought == 1
+
+
+@prop("steering.many_agents_deny_only_when_asked_again")
+@given(st.integers(0, 1000))
+def check_denials(seed):
+    """Among many agents a first search brings no denials; a repeated one ends a dead flow."""
+    world = SteeringWorld(agents=MAX_DENIALS_AT_ONCE + 1, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.restart_target(holder.agent)
+    world.resets()
+    notices = world.balancers["b2"].counts.notices
+    world.talk(1, "b2")
+    assert world.balancers["b2"].counts.notices == notices and world.resets() == []
+    world.now += 2 * SEARCH_PAUSE_S
+    world.talk(1, "b2")
+    assert len(world.resets()) == 1
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -18,10 +18,10 @@
 from lentilcourse.messages.base import message
 from lentilcourse.options import Address
 
-RECORD_LIFE_S: Final = 6.0
+RECORD_LIFE_S: Final = 12.0
 """Time without a word from an agent after which its record is dropped: three refreshes."""
-REFRESH_INTERVAL_S: Final = 2.0
-"""Longest pause between two lists to one subscriber."""
+REFRESH_INTERVAL_S: Final = 4.0
+"""Longest pause between two whole lists to one subscriber."""
 
 STATE_SERVING: Final = "serving"
 STATE_DRAINING: Final = "draining"
--- a/lentilcourse/feed.py
+++ b/lentilcourse/feed.py
@@ -11,7 +11,7 @@
 from typing import Final, Protocol
 
 from lentilcourse.clocks import MS_PER_S
-from lentilcourse.directory import REFRESH_INTERVAL_S, AgentList, Directory
+from lentilcourse.directory import REFRESH_INTERVAL_S, AgentList, AgentRecord, Directory
 from lentilcourse.messages.state import ControllerList, Delta, Freshness, FullState
 from lentilcourse.model import State, StateDelta
 from lentilcourse.streams import Stream
@@ -61,7 +61,7 @@
 
 
 class _ListSender:
-    """Sends the lists of agents and controllers when they change, and agents from time to time.
+    """Sends agents and controllers that have changed, and all agents from time to time.
 
     Attributes:
         agents_version: version of the directory that was sent last.
@@ -73,6 +73,7 @@
         self._source = source
         self._controllers: ControllerList | None = None
         self._refresh_due = 0.0
+        self._sent: dict[str, AgentRecord] = {}
 
     def send_due(self, now: float) -> None:
         """Send what is due; raises `StreamError`."""
@@ -84,9 +85,17 @@
         if directory is None:
             return
         version = directory.version
-        if version != self.agents_version or now >= self._refresh_due:
-            self._stream.send(AgentList(notices=directory.notices(now)))
-            self.agents_version = version
+        refresh = now >= self._refresh_due
+        if version == self.agents_version and not refresh:
+            return
+        notices = directory.notices(now)
+        known = {} if refresh else self._sent
+        changed = tuple(each for each in notices if known.get(each.record.name) != each.record)
+        if changed:
+            self._stream.send(AgentList(notices=changed))
+        self._sent = {each.record.name: each.record for each in notices}
+        self.agents_version = version
+        if refresh:
             self._refresh_due = now + REFRESH_INTERVAL_S
 
 
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -50,6 +50,7 @@
 NO_TARGET_AFTER_S: Final = 2.5
 """Time after the start without an announcement after which there is no target: two of the
 longest intervals of announcements."""
+SEARCHES: Final = frozenset((Kind.SEEK, Kind.SEEK_ALL))
 HOP_BITS: Final = 4
 HOP_MASK: Final = (1 << HOP_BITS) - 1
 
@@ -118,7 +119,7 @@
                 self._on_open(envelope, packet, now)
             elif envelope.kind is Kind.CARRY:
                 self._on_carry(envelope, packet, now)
-            elif envelope.kind is Kind.SEEK:
+            elif envelope.kind in SEARCHES:
                 self._on_seek(envelope, packet, now)
 
     def _on_open(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
@@ -231,11 +232,11 @@
         record = self._flows.get(packet.flow)
         if record is None:
             if not self._may_have_forgotten(now):
-                self._deny(packet, envelope.balancer)
+                self._deny_if_asked(envelope.kind, packet, envelope.balancer)
                 return
             record = self._assume(envelope, packet, now)
         elif record.run != self._watch.run:
-            self._deny(packet, envelope.balancer)
+            self._deny_if_asked(envelope.kind, packet, envelope.balancer)
             return
         record.balancer = envelope.balancer
         if record.state is FlowState.HELD:
@@ -322,8 +323,8 @@
         kind = packet.stamp >> HOP_BITS
         if record is None:
             return
-        if kind == Kind.SEEK:
-            self._deny(packet, record.balancer)
+        if kind in SEARCHES:
+            self._deny_if_asked(kind, packet, record.balancer)
             return
         hops = packet.stamp & HOP_MASK
         if kind == Kind.OPEN and packet.opening:
@@ -333,6 +334,10 @@
             self._deny(packet, record.balancer)
             self._seek(packet, record)
 
+    def _deny_if_asked(self, kind: int, packet: FlowPacket, balancer: tuple[str, int]) -> None:
+        if kind == Kind.SEEK_ALL:
+            self._deny(packet, balancer)
+
     def _deny(self, packet: FlowPacket, balancer: tuple[str, int]) -> None:
         self.counts.denied += 1
         if packet.returned:
@@ -361,7 +366,7 @@
     def _seek(self, packet: FlowPacket, record: FlowRecord) -> None:
         self.counts.sought += 1
         _log.info("flow_sought", flow=flow_text(packet.flow), state=record.state.value)
-        envelope = Envelope(kind=Kind.SEEK, hops=1, balancer=record.balancer)
+        envelope = Envelope(kind=Kind.SEEK_ALL, hops=1, balancer=record.balancer)
         datagram = encode_envelope(envelope, self._format.stamped(packet, 0))
         for peer in self._peers.table().everyone:
             if peer.address != self._limits.own:
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -38,6 +38,18 @@
 callers send the first copy after 0.2 s."""
 DENIALS_LIFE_S: Final = 1.0
 """Time within which all agents must have denied a flow; a search takes a few milliseconds."""
+SEARCH_PAUSE_S: Final = 0.15
+"""Pause after the first search for a flow: many round trips, less than a caller's first resend;
+doubled after each further search."""
+MAX_SEARCH_PAUSE_S: Final = 1.2
+"""Longest pause between two searches for a flow; callers resend after 1.6 s at most."""
+MAX_DENIALS_AT_ONCE: Final = 20
+"""Agents up to which a first search asks for denials: the answers fit a few milliseconds of a
+slow link."""
+SEARCH_LIFE_S: Final = 5.0
+"""Time without a packet of a flow after which its search is forgotten."""
+MAX_KEPT_PACKETS: Final = 16
+"""Packets of a flow that are kept during a search: as many as an end has in flight."""
 HINT_SLACK_S: Final = 5.0
 """Time for which a hint is kept beyond the idle time of flows."""
 
@@ -69,6 +81,21 @@
     agents: set[tuple[str, int]] = attrs.field(factory=set)
 
 
+@attrs.define(kw_only=True, slots=True)
+class Search:
+    """A search for the owner of a flow.
+
+    Attributes:
+        sent: when a packet was last sent to all agents.
+        pause_s: time for which no other is sent.
+        packets: packets that came since, in order.
+    """
+
+    sent: float
+    pause_s: float = SEARCH_PAUSE_S
+    packets: list[bytes] = attrs.field(factory=list)
+
+
 @attrs.define(kw_only=True)
 class BalancerFlowCounts:
     """What the balancer has done with packets since its start."""
@@ -113,9 +140,12 @@
         self._caller_port = caller_port
         self._rng = rng
         self._carry_head = encode_envelope(Envelope(kind=Kind.CARRY, hops=0, balancer=own), b"")
+        seek_all = Envelope(kind=Kind.SEEK_ALL, hops=0, balancer=own)
+        self._seek_all_head = encode_envelope(seek_all, b"")
         self._seek_head = encode_envelope(Envelope(kind=Kind.SEEK, hops=0, balancer=own), b"")
         self._hints: dict[bytes, Hint] = {}
         self._denials: dict[bytes, Denials] = {}
+        self._searches: dict[bytes, Search] = {}
         self._lock = threading.Lock()
 
     @property
@@ -136,7 +166,7 @@
                 self.counts.carried += 1
                 self._to_peer(self._carry_head + packet.raw, hint.owner)
             else:
-                self._seek(packet)
+                self._search(packet, now)
 
     def on_notice(self, datagram: bytes, now: float) -> None:
         """Take a notice of an agent; raises `PacketError`."""
@@ -163,6 +193,11 @@
             ]
             for flow in late:
                 del self._denials[flow]
+            ended = [
+                flow for flow, each in self._searches.items() if now - each.sent > SEARCH_LIFE_S
+            ]
+            for flow in ended:
+                del self._searches[flow]
 
     def _on_opening(self, packet: FlowPacket, hint: Hint | None, now: float) -> None:
         route = self._routes.find(packet.entry)
@@ -208,17 +243,41 @@
         )
         self._to_peer(encode_envelope(envelope, packet.raw), owner)
 
-    def _seek(self, packet: FlowPacket) -> None:
+    def _search(self, packet: FlowPacket, now: float) -> None:
+        """Send one packet of a flow to all agents; keep the next ones until the owner is known.
+
+        Searches are paced, so that a lost answer does not turn every packet into a search. Where
+        many agents would have to deny a flow, only a repeated search asks them to.
+        """
+        search = self._searches.get(packet.flow)
+        if search is not None and now - search.sent < search.pause_s:
+            if len(search.packets) < MAX_KEPT_PACKETS:
+                search.packets.append(packet.raw)
+            return
+        peers = self._peers.table().everyone
+        ask_all = search is not None or len(peers) <= MAX_DENIALS_AT_ONCE
+        if search is None:
+            search = self._searches[packet.flow] = Search(sent=now)
+        else:
+            search.pause_s = min(2 * search.pause_s, MAX_SEARCH_PAUSE_S)
+        search.sent = now
         self.counts.sought += 1
-        _log.info(
-            "flow_sought", flow=flow_text(packet.flow), asked=len(self._peers.table().everyone)
-        )
-        datagram = self._seek_head + packet.raw
-        for peer in self._peers.table().everyone:
+        _log.info("flow_sought", flow=flow_text(packet.flow), asked=len(peers), all=ask_all)
+        datagram = (self._seek_all_head if ask_all else self._seek_head) + packet.raw
+        for peer in peers:
             self._to_peer(datagram, peer.address)
 
+    def _end_search(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
+        """Hand the kept packets of a flow to its owner, unless they are too old to matter."""
+        search = self._searches.pop(flow, None)
+        if search is None or now - search.sent > SEARCH_PAUSE_S:
+            return
+        for raw in search.packets:
+            self._to_peer(self._carry_head + raw, owner)
+
     def _learn(self, notice: OwnerNotice, now: float) -> None:
         self._denials.pop(notice.flow, None)
+        self._end_search(notice.flow, notice.owner, now)
         hint = self._hints.get(notice.flow)
         if hint is None:
             self._hints[notice.flow] = Hint(owner=notice.owner, told=True, placed=now, seen=now)
@@ -238,6 +297,7 @@
         if not holders <= denials.agents or not self._peers.complete():
             return
         del self._denials[notice.flow]
+        self._searches.pop(notice.flow, None)
         self._hints.pop(notice.flow, None)
         self.counts.reset += 1
         _log.info("flow_reset", flow=flow_text(notice.flow), denied_by=len(denials.agents))
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -37,6 +37,7 @@
     OPEN: take this opening packet as a new flow, or pass it on.
     CARRY: the flow is thought to be yours.
     SEEK: whoever owns the flow takes the packet and tells the balancer.
+    SEEK_ALL: the same, and everyone else denies the flow.
     OWNER: the sender owns the flow (agent to balancer); carries its load too.
     LOAD: the sender's load (agent to balancer).
     DENIAL: the sender's target does not hold the flow (agent to balancer).
@@ -48,6 +49,7 @@
     OWNER = 4
     LOAD = 5
     DENIAL = 6
+    SEEK_ALL = 7
 
 
 KINDS: Final = {kind.value: kind for kind in Kind}
