Let no late commit, full pool or defective datagram end a task

Change: such waits end with ProposalUnknownError; registrations in parts of 16; the loop logs the defect, counts it and goes on. Test: three properties in formation; the old code raises TimeoutError, PoolFullError and KeyError.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -50,6 +50,9 @@
       | formation.restarted_controllers_exchange_agents_at_once |
       | steering.searches_are_paced |
       | steering.many_agents_deny_only_when_asked_again |
+      | formation.late_commit_ends_no_task |
+      | formation.many_agents_are_registered_in_parts |
+      | formation.defect_in_one_datagram_stops_no_loop |
       | logging.rate_is_bounded                        |
       | logging.nobody_reads                           |
       | logging.story_in_order                         |
--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -8,6 +8,7 @@
 import tempfile
 import threading
 import time
+from concurrent.futures import Future
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -19,6 +20,7 @@
 from lentilcourse.catalogue import Catalogue
 from lentilcourse.changes import decide_change
 from lentilcourse.controller.directory_relay import RELAY_REFRESH_S, DirectoryRelay
+from lentilcourse.controller.formation import await_commit
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.membership import (
@@ -28,14 +30,16 @@
 )
 from lentilcourse.controller.progress import PeerView, Role
 from lentilcourse.controller.quorum import changed_membership, quorum_size
+from lentilcourse.controller.registrations import MAX_ACTIONS, Registrations
 from lentilcourse.controller.replica import MAX_BATCH_BYTES, Replica, bounded_batch
 from lentilcourse.directory import AgentNotice, AgentRecord, Directory
-from lentilcourse.errors import WrongReplicaError
+from lentilcourse.errors import LentilcourseError, WrongReplicaError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages.base import Done
 from lentilcourse.messages.consensus import LogEntry, Member, Membership
 from lentilcourse.model import State, apply_delta
 from lentilcourse.options import Address
+from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.streams import KIND_PROCESS, Identity, KeyRing, StreamListener
 from properties import prop
 
@@ -393,3 +397,51 @@
         state="serving",
         slots=1,
     )
+
+
+@prop("formation.late_commit_ends_no_task")
+def check_late_commit():
+    """A change that is not committed in time is an expected error, which tasks survive."""
+    try:
+        await_commit(Future(), 0.01)
+    except LentilcourseError:
+        return
+    raise AssertionError("a change without a commit passed for committed")
+
+
+@prop("formation.many_agents_are_registered_in_parts")
+@given(st.integers(0, 200))
+def check_parts(count):
+    """However many agents appear at once, few are proposed at once and all in the end."""
+    records = [attrs.evolve(agent_record(), name=f"a{number}") for number in range(count)]
+    state, registrations = State(), Registrations()
+    for _ in range(count // MAX_ACTIONS + 1):
+        due = registrations.due(state, records, set(), 0.0)
+        assert len(due) <= MAX_ACTIONS
+        for action in due:
+            _, delta = decide_change(state, change_of(action))
+            state = apply_delta(state, delta)
+    assert state.agents.keys() == {record.name for record in records}
+
+
+@prop("formation.defect_in_one_datagram_stops_no_loop")
+def check_loop():
+    """A loop goes on after a datagram that shows a defect, and counts it."""
+    lifecycle = Lifecycle()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = Address(host="127.0.0.1", port=sock.getsockname()[1])
+    loop, taken = DatagramLoop(address=address, lifecycle=lifecycle), []
+
+    def take(datagram, now):
+        if datagram == b"bad":
+            raise KeyError(datagram)
+        taken.append(datagram)
+        lifecycle.stopped.set()
+
+    for datagram in (b"bad", b"good"):
+        loop.send(datagram, address.pair())
+    loop.run(take)
+    assert taken == [b"good"] and loop.failed == 1
+    for closer in lifecycle._closers:
+        closer()
--- a/lentilcourse/controller/formation.py
+++ b/lentilcourse/controller/formation.py
@@ -11,15 +11,24 @@
 
 import time
 from collections.abc import Callable, Sequence
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Final
 
 import attrs
 
+from lentilcourse import error_texts
+from lentilcourse.actions import Outcome
 from lentilcourse.controller.membership import due_membership_change
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S
 from lentilcourse.controller.replica import Replica
-from lentilcourse.errors import ChangeRefusedError, LentilcourseError, StreamError
+from lentilcourse.errors import (
+    ChangeRefusedError,
+    LentilcourseError,
+    ProposalUnknownError,
+    StreamError,
+)
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
 from lentilcourse.messages.base import Failure, message
@@ -75,6 +84,15 @@
     addresses: tuple[str, ...]
 
 
+def await_commit(fut: Future[Outcome | None], timeout_s: float = PROPOSAL_TIMEOUT_S) -> None:
+    """Wait until a proposal is committed; raises `ProposalUnknownError` when that is late."""
+    try:
+        fut.result(timeout=timeout_s)
+    except FutureTimeoutError:
+        text = error_texts.PROPOSAL_UNKNOWN.format(seconds=timeout_s)
+        raise ProposalUnknownError(text) from None
+
+
 class Formation:
     """The task of one controller that founds, joins and repairs its group."""
 
@@ -147,8 +165,7 @@
         addresses = tuple(sorted(each.address for each in membership.members))
         added = membership.find(member.replica_id) is not None
         if self._replica.role is Role.LEADER and not added:
-            fut = self._replica.propose_membership("add", member, now)
-            fut.result(timeout=PROPOSAL_TIMEOUT_S)
+            await_commit(self._replica.propose_membership("add", member, now))
             _log.info("learner_added", member=member.name, replica=member.replica_id)
             added = True
         leads = self._replica.role is Role.LEADER
@@ -165,7 +182,7 @@
         except ChangeRefusedError as exc:
             _log.debug("membership_change_waits", verb=change.verb, error=str(exc))
             return False
-        fut.result(timeout=PROPOSAL_TIMEOUT_S)
+        await_commit(fut)
         _log.info("membership_changed", verb=change.verb, member=change.member.replica_id)
         return True
 
--- a/lentilcourse/controller/registrations.py
+++ b/lentilcourse/controller/registrations.py
@@ -17,6 +17,9 @@
 FORGET_AFTER_S: Final = 60.0
 """Silence after which an agent is forgotten: its target's flows have outlived their use."""
 
+MAX_ACTIONS: Final = 16
+"""Registrations that are proposed at once: a quarter of the tasks that may propose."""
+
 
 class Registrations:
     """Decides, at the leader, which registrations are due."""
@@ -37,7 +40,8 @@
     ) -> list[Action]:
         """Return the changes that the agents heard (`records`) and ended (`gone`) call for.
 
-        An agent is registered once it has a target: before that it can hold no flow.
+        An agent is registered once it has a target: before that it can hold no flow. At most
+        `MAX_ACTIONS` are returned; the rest is due at the next call.
         """
         actions: list[Action] = []
         for record in records:
@@ -50,4 +54,4 @@
             silent_since = self._silent_since.setdefault(name, now)
             if name in gone or now - silent_since > FORGET_AFTER_S:
                 actions.append(ForgetAgent(name=name))
-        return actions
+        return actions[:MAX_ACTIONS]
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -34,12 +34,13 @@
     FoundRequest,
     IdentifyRequest,
     JoinRequest,
+    await_commit,
 )
 from lentilcourse.controller.leases import LeaseTable, due_actions
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.progress import Role
-from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S, Proposer
+from lentilcourse.controller.proposals import Proposer
 from lentilcourse.controller.reads import CatalogueReader, CatalogueReply, ReadCatalogue
 from lentilcourse.controller.registrations import Registrations
 from lentilcourse.controller.replica import Replica
@@ -451,7 +452,7 @@
 @answer.register
 def _membership(msg: MembershipRequest, controller: Controller, caller: Caller) -> object:
     fut = controller.replica.propose_membership(msg.verb, msg.member, time.monotonic())
-    fut.result(timeout=PROPOSAL_TIMEOUT_S)
+    await_commit(fut)
     _log.info("membership_changed", verb=msg.verb, member=msg.member.name, operator=caller.name)
     return Done()
 
--- a/lentilcourse/steering/loops.py
+++ b/lentilcourse/steering/loops.py
@@ -8,9 +8,12 @@
 
 from lentilcourse.errors import PacketError
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
 from lentilcourse.options import Address
 from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
+_log = get_logger(__name__)
+
 Take = Callable[[bytes, float], None]
 
 
@@ -20,11 +23,13 @@
     Attributes:
         malformed: datagrams that could not be read and were dropped.
         unsent: datagrams that the system did not take.
+        failed: datagrams at which a defect showed; each is logged, and the loop goes on.
     """
 
     def __init__(self, *, address: Address, lifecycle: Lifecycle) -> None:
         self.malformed = 0
         self.unsent = 0
+        self.failed = 0
         self._lifecycle = lifecycle
         self._socket: socket.socket = open_datagram_socket(address)
         lifecycle.on_close(self._socket.close)
@@ -47,6 +52,9 @@
                 take(datagram, clock())
             except PacketError:
                 self.malformed += 1
+            except Exception:
+                self.failed += 1
+                _log.exception("datagram_failed", size=len(datagram))
 
     def send(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Send one datagram; one that the system does not take is counted as unsent."""
