Wait for proposals in one place; drop an unused argument

Cause: the formation's wait for a commit stood beside the same wait of the proposer; own_change took an edit version that nobody gave; one variable had a name of another thing. Ruled out: a change of behaviour; the error and its text are the proposer's. Change: await_commit in proposals serves both, the controller's membership requests too. Checks: formatter, linter, types and features/platform.feature passed; the whole test run was not repeated on this commit.

--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -20,7 +20,6 @@
 from lentilcourse.catalogue import Catalogue
 from lentilcourse.changes import decide_change
 from lentilcourse.controller.directory_relay import RELAY_REFRESH_S, DirectoryRelay
-from lentilcourse.controller.formation import await_commit
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.membership import (
@@ -29,6 +28,7 @@
     due_membership_change,
 )
 from lentilcourse.controller.progress import PeerView, Role
+from lentilcourse.controller.proposals import await_commit
 from lentilcourse.controller.quorum import changed_membership, quorum_size
 from lentilcourse.controller.registrations import MAX_ACTIONS, Registrations
 from lentilcourse.controller.replica import MAX_BATCH_BYTES, Replica, bounded_batch
--- a/lentilcourse/controller/formation.py
+++ b/lentilcourse/controller/formation.py
@@ -11,22 +11,17 @@
 
 import time
 from collections.abc import Callable, Sequence
-from concurrent.futures import Future
-from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Final
 
 import attrs
 
-from lentilcourse import error_texts
-from lentilcourse.actions import Outcome
 from lentilcourse.controller.membership import due_membership_change
 from lentilcourse.controller.progress import Role
-from lentilcourse.controller.proposals import PROPOSAL_TIMEOUT_S
+from lentilcourse.controller.proposals import await_commit
 from lentilcourse.controller.replica import Replica
 from lentilcourse.errors import (
     ChangeRefusedError,
     LentilcourseError,
-    ProposalUnknownError,
     StreamError,
 )
 from lentilcourse.kernel.lifecycle import Lifecycle
@@ -84,15 +79,6 @@
     addresses: tuple[str, ...]
 
 
-def await_commit(fut: Future[Outcome | None], timeout_s: float = PROPOSAL_TIMEOUT_S) -> None:
-    """Wait until a proposal is committed; raises `ProposalUnknownError` when that is late."""
-    try:
-        fut.result(timeout=timeout_s)
-    except FutureTimeoutError:
-        text = error_texts.PROPOSAL_UNKNOWN.format(seconds=timeout_s)
-        raise ProposalUnknownError(text) from None
-
-
 class Formation:
     """The task of one controller that founds, joins and repairs its group."""
 
@@ -211,7 +197,7 @@
 
     def _join(self, membership: Membership) -> None:
         own = str(self._address)
-        known = [parse for parse in self._known if str(parse) != own]
+        known = [address for address in self._known if address != self._address]
         members = [
             parse_address(each.address) for each in membership.members if each.address != own
         ]
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Mapping
+from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Final
 
@@ -123,14 +124,21 @@
 
     def _submit_local(self, change: Change, deadline: float) -> Outcome:
         fut = self._replica.propose(change)
-        try:
-            outcome = fut.result(timeout=max(0.0, deadline - time.monotonic()))
-        except FutureTimeoutError:
-            raise _unknown() from None
+        outcome = await_commit(fut, max(0.0, deadline - time.monotonic()))
         if outcome is None:
             raise _unknown()
         return outcome
 
 
+def await_commit(
+    fut: Future[Outcome | None], timeout_s: float = PROPOSAL_TIMEOUT_S
+) -> Outcome | None:
+    """Return what a proposal came to; raises `ProposalUnknownError` when it is late."""
+    try:
+        return fut.result(timeout=timeout_s)
+    except FutureTimeoutError:
+        raise _unknown() from None
+
+
 def _unknown() -> ProposalUnknownError:
     return ProposalUnknownError(error_texts.PROPOSAL_UNKNOWN.format(seconds=PROPOSAL_TIMEOUT_S))
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -34,13 +34,12 @@
     FoundRequest,
     IdentifyRequest,
     JoinRequest,
-    await_commit,
 )
 from lentilcourse.controller.leases import LeaseTable, due_actions
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.progress import Role
-from lentilcourse.controller.proposals import Proposer
+from lentilcourse.controller.proposals import Proposer, await_commit
 from lentilcourse.controller.reads import CatalogueReader, CatalogueReply, ReadCatalogue
 from lentilcourse.controller.registrations import Registrations
 from lentilcourse.controller.replica import Replica
@@ -331,16 +330,14 @@
                 self._proposing.discard(place)
 
 
-def own_change(
-    operator: str, source: str, action: Action, edit_version: int = ANY_VERSION
-) -> Change:
-    """Return a change that a controller proposes, by default whatever version is in force."""
+def own_change(operator: str, source: str, action: Action) -> Change:
+    """Return a change that a controller proposes, whatever version is in force."""
     return Change(
         change_id=new_id(),
         operator=operator,
         source=source,
         at_ms=wall_clock_ms(),
-        edit_version=edit_version,
+        edit_version=ANY_VERSION,
         action=action,
     )
 
