--- a/features/platform.feature
+++ b/features/platform.feature
@@ -19,6 +19,8 @@
       | steering.silent_target_is_not_believed          |
       | steering.left_run_does_not_return               |
       | steering.silent_agent_is_avoided                |
+      | steering.all_avoided_are_used                   |
+      | steering.same_flow_same_agent_by_hash           |
       | steering.long_flows_on_unequal_targets          |
       | steering.load_follows_requests                  |
       | steering.newest_record_stays                    |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -15,6 +15,7 @@
     "consensus",
     "streams",
     "steering",
+    "placement",
     "platform",
     "formation",
     "logging",
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import Counter
 
 import attrs
@@ -24,14 +23,6 @@
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_SYN
 from lentilcourse.steering.balancer_flows import MAX_DENIALS_AT_ONCE, SEARCH_PAUSE_S
-from lentilcourse.steering.load_meter import LoadMeter
-from lentilcourse.steering.peers import Peer
-from lentilcourse.steering.placement import (
-    AVOIDED_FOR_S,
-    SILENT_AFTER_S,
-    AgentLoads,
-    choose_peer,
-)
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 from properties import prop
 from properties.steering_world import (
@@ -262,76 +253,6 @@
     assert watch.offer(report(born=2, sequence=1), 0.2) is Verdict.NEW_RUN
 
 
-def peer(number, domain="d0", slots=1):
-    """Return an agent."""
-    return Peer(name=f"a{number}", address=(f"10.0.0.{number}", 1), domain=domain, slots=slots)
-
-
-@prop("steering.silent_agent_is_avoided")
-def check_silent_agent():
-    """An agent that leaves offers unanswered gets none for a while, then one more chance."""
-    loads, peers, rng = AgentLoads(), (peer(1), peer(2)), random.Random(1)
-    loads.hear(peers[1].address, 0.9, 0.0)
-    loads.place(peers[0].address, 0.0)
-    later = SILENT_AFTER_S + 0.1
-    assert {choose_peer(peers, loads, "d0", rng, later).name for _ in range(20)} == {"a2"}
-    loads.hear(peers[0].address, 0.0, later + 0.1)
-    loads.hear(peers[1].address, 0.0, later + 0.1)
-    assert {choose_peer(peers, loads, "d0", rng, later + 0.2).name for _ in range(20)} == {
-        "a1",
-        "a2",
-    }
-    loads.place(peers[0].address, later + 1.0)
-    again = later + 1.0 + SILENT_AFTER_S + AVOIDED_FOR_S + 0.2
-    loads.avoided(peers[0].address, later + 1.1 + SILENT_AFTER_S)
-    assert not loads.avoided(peers[0].address, again)
-
-
-def utilisation(choose, speeds, seed):
-    """Return busiest over mean utilisation of long flows on targets of unequal speed.
-
-    Each flow asks for the same work; a target's load is its flows over its speed.
-    """
-    rng = random.Random(seed)
-    peers = tuple(peer(number) for number in range(len(speeds)))
-    flows = [0] * len(speeds)
-    loads = AgentLoads()
-    for number in range(140):
-        now = number * 0.05
-        if number % 5 == 0:
-            for index, each in enumerate(peers):
-                loads.hear(each.address, 0.04 * flows[index] / speeds[index], now)
-        chosen = choose(peers, loads, rng, now)
-        flows[peers.index(chosen)] += 1
-        loads.place(chosen.address, now)
-    busy = [count / speed for count, speed in zip(flows, speeds, strict=True)]
-    return max(busy) / (sum(busy) / len(busy))
-
-
-@prop("steering.long_flows_on_unequal_targets")
-def check_imbalance():
-    """Long flows spread by load: the busiest of unequal targets stays nearer to the mean."""
-    speeds = (0.6, 1.0, 1.6, 0.6, 1.0, 1.6, 1.0)
-    ours, at_random = [], []
-    for seed in range(20):
-        ours.append(utilisation(lambda p, w, r, now: choose_peer(p, w, "d0", r, now), speeds, seed))
-        at_random.append(utilisation(lambda p, w, r, now: r.choice(p), speeds, seed))
-    mean_ours, mean_random = sum(ours) / len(ours), sum(at_random) / len(at_random)
-    assert mean_ours < 1.25 < mean_random
-
-
-@prop("steering.load_follows_requests")
-@given(st.integers(1, 6))
-def check_meter(in_flight):
-    """A queue counts in part at once, and whole after a while."""
-    meter = LoadMeter(now=0.0)
-    meter.change(in_flight, 0.0)
-    assert meter.load(2, 0.0) == in_flight / 4
-    for tick in range(1, 40):
-        load = meter.load(2, tick * 0.25)
-    assert abs(load - in_flight / 2) < 0.05 * in_flight
-
-
 def record(name="a1", state="serving"):
     """Return a record of an agent."""
     address = Address(host="10.0.0.1", port=1)
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -28,6 +28,7 @@
 from lentilcourse.steering.balancer_flows import BalancerFlows
 from lentilcourse.steering.datagrams import Kind, decode_kind, pack_address
 from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.placement_policies import PLACEMENT_POLICIES
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch
 from lentilcourse.subscription import StateCopy
 
@@ -156,6 +157,7 @@
         """Start a balancer without memory."""
         self.balancers[name] = BalancerFlows(
             packet_format=self.format,
+            placement=PLACEMENT_POLICIES.get("two-choices"),
             peers=self._new_peers(name),
             state=lambda: self.state,
             own=(f"10.1.0.{name[1:]}", 1),
--- a/lentilcourse/options.py
+++ b/lentilcourse/options.py
@@ -142,11 +142,13 @@
         packet_format: packet format plug-in.
         packet_address: UDP listener for packets of callers.
         peer_address: UDP listener for datagrams of agents.
+        placement: placement policy plug-in for new flows.
     """
 
     packet_format: str
     packet_address: Address
     peer_address: Address
+    placement: str
 
 
 @attrs.frozen(kw_only=True)
--- a/lentilcourse/settings_file.py
+++ b/lentilcourse/settings_file.py
@@ -190,6 +190,7 @@
             packet_format=self._value(section, "packet_format", parse_name),
             packet_address=self._value(section, "packet_address", parse_address),
             peer_address=self._value(section, "peer_address", parse_address),
+            placement=self._value(section, "placement", parse_name, default="two-choices"),
         )
 
     def _steering_agent(self) -> SteeringAgentSettings:
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -30,7 +30,8 @@
 )
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
 from lentilcourse.steering.peers import Peer, Peers
-from lentilcourse.steering.placement import AgentLoads, choose_peer
+from lentilcourse.steering.placement import AgentLoads, usable_peers
+from lentilcourse.steering.placement_policies import Offer, PlacementPolicy
 from lentilcourse.steering.routes import Route, Routes
 
 RESEND_AFTER_S: Final = 0.15
@@ -118,6 +119,7 @@
         self,
         *,
         packet_format: PacketFormat,
+        placement: PlacementPolicy,
         peers: Peers,
         state: Callable[[], State],
         own: tuple[str, int],
@@ -130,6 +132,7 @@
         self.counts = BalancerFlowCounts()
         self.loads = AgentLoads()
         self._format = packet_format
+        self._placement = placement
         self._peers = peers
         self._state = state
         self._routes = Routes(catalogue=lambda: state().catalogue)
@@ -222,17 +225,27 @@
 
     def _place(self, packet: FlowPacket, route: Route, now: float) -> None:
         peers = self._peers.table().serving.get(route.service_for(packet.flow), ())
-        peer = choose_peer(peers, self.loads, self._domain, self._rng, now)
-        if peer is None:
+        if not peers:
             self.counts.no_target += 1
             self._refuse(packet, "no-target", self._peers.complete())
             return
+        peer = self._choose(packet.flow, peers, now)
         self.counts.opened += 1
         self._log_placed(packet, route, peer, len(peers), now)
         self.loads.place(peer.address, now)
         self._hints[packet.flow] = Hint(owner=peer.address, told=False, placed=now, seen=now)
         self._open(packet, route, peer.address)
 
+    def _choose(self, flow: bytes, peers: tuple[Peer, ...], now: float) -> Peer:
+        offer = Offer(
+            flow=flow,
+            peers=usable_peers(peers, self.loads, now),
+            loads=self.loads,
+            domain=self._domain,
+            rng=self._rng,
+        )
+        return self._placement(offer, now)
+
     def _open(self, packet: FlowPacket, route: Route, owner: tuple[str, int]) -> None:
         envelope = Envelope(
             kind=Kind.OPEN,
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -12,6 +12,7 @@
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import follow
 from lentilcourse.steering.packet_format import PACKET_FORMATS
+from lentilcourse.steering.placement_policies import PLACEMENT_POLICIES
 
 SWEEP_INTERVAL_S: Final = 1.0
 LEAVE_S: Final = 2.0
@@ -31,6 +32,7 @@
     following = follow(context, lambda: flows.known_flows)
     flows = BalancerFlows(
         packet_format=PACKET_FORMATS.get(cfg.packet_format),
+        placement=PLACEMENT_POLICIES.get(cfg.placement),
         peers=following.peers,
         state=lambda: following.copy.current,
         own=cfg.peer_address.pair(),
--- a/lentilcourse/steering/placement.py
+++ b/lentilcourse/steering/placement.py
@@ -1,12 +1,11 @@
-"""Which agent is offered a new flow.
+"""What a balancer knows of the agents that it may offer a new flow.
 
-Two random agents are compared by what they said of their load and by what this balancer has
-sent them since. An agent that leaves offers unanswered is avoided until it is heard again.
+The cost of an agent follows from what it said of its load and from what this balancer has sent
+it since. An agent that leaves offers unanswered is avoided until it is heard again.
 """
 
 from __future__ import annotations
 
-import random
 from typing import Final
 
 import attrs
@@ -94,12 +93,6 @@
         return known
 
 
-def choose_peer(
-    peers: tuple[Peer, ...], loads: AgentLoads, domain: str, rng: random.Random, now: float
-) -> Peer | None:
-    """Return the agent that is offered a new flow, None without any."""
-    usable = [peer for peer in peers if not loads.avoided(peer.address, now)] or list(peers)
-    if not usable:
-        return None
-    pair = rng.sample(usable, min(2, len(usable)))
-    return min(pair, key=lambda peer: loads.cost(peer, domain, now))
+def usable_peers(peers: tuple[Peer, ...], loads: AgentLoads, now: float) -> tuple[Peer, ...]:
+    """Return the agents that are not avoided now, or all where every one is."""
+    return tuple(peer for peer in peers if not loads.avoided(peer.address, now)) or peers
