A freed key stays free: no older word of a peer is taken for a request of the own run

A hand-over that was on its way brings the record back to the home itself, without an outcome and with the home's own run as owner; nobody runs it, and each later request under the key waits 30 s for its outcome, as long as a caller waits. Four resends outlast the load's end. Change: a record without an outcome that names this run as its owner is a question, never a record: it is answered with the outcome, or with a release. Whoever waits for an outcome asks its owner every 0.5 s, so that a release or outcome that was lost with a stream is made up. ReleaseKey names the run. Requests that wait for a freed key are refused as not run, and retried by the balancer.

--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -12,6 +12,7 @@
     "flows",
     "admission",
     "requests",
+    "key_replication",
     "consensus",
     "streams",
     "steering",
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -272,7 +272,7 @@
         if home is None:
             return
         req = request(key)
-        if self.records[home].find(req) is not None:
+        if self.records[home].find(req.entry_id, key) is not None:
             return
         if self.history[home].judge(bucket, key, self.wall_ms) is not KeyVerdict.NEW:
             return
@@ -407,5 +407,5 @@
     other = KeyRecord(fingerprint=fingerprint(req), owner="b")
     other.body = body
     records.merge(key_state(1, "k", other))
-    assert records.find(req).body == b"first"
+    assert records.find(1, "k").body == b"first"
     assert KEY_LIFE_MS > 0
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -4,20 +4,23 @@
     Then the property "<property>" holds
 
     Examples:
-      | property                           |
-      | requests.retry_only_when_safe      |
-      | requests.final_refusal_is_honest   |
-      | requests.budget_bounds_retries     |
-      | requests.foreign_headers           |
-      | requests.every_cause_has_a_status  |
-      | requests.no_state_is_not_unknown   |
-      | requests.slots_never_exceeded      |
-      | requests.class_ranks_the_queue     |
-      | requests.higher_class_displaces    |
-      | requests.key_runs_at_most_once     |
-      | requests.single_losses_lose_no_key |
-      | requests.key_time                  |
-      | requests.known_outcome_stays       |
+      | property                             |
+      | requests.retry_only_when_safe        |
+      | requests.final_refusal_is_honest     |
+      | requests.budget_bounds_retries       |
+      | requests.foreign_headers             |
+      | requests.every_cause_has_a_status    |
+      | requests.no_state_is_not_unknown     |
+      | requests.slots_never_exceeded        |
+      | requests.class_ranks_the_queue       |
+      | requests.higher_class_displaces      |
+      | requests.key_runs_at_most_once       |
+      | requests.single_losses_lose_no_key   |
+      | requests.key_time                    |
+      | requests.known_outcome_stays         |
+      | requests.released_key_is_not_echoed  |
+      | requests.owner_frees_a_released_key  |
+      | requests.owner_tells_a_known_outcome |
 
   Scenario Outline: Orders run at most once and refusals are true, though "<fault>"
     Given a small deployment with flows and requests
--- a/lentilcourse/agent/idempotency.py
+++ b/lentilcourse/agent/idempotency.py
@@ -14,7 +14,14 @@
 import attrs
 from xxhash import xxh3_128_digest
 
-from lentilcourse.messages.requests import AnswerChunk, AnswerStart, KeyState, Refusal, RequestStart
+from lentilcourse.messages.requests import (
+    AnswerChunk,
+    AnswerStart,
+    KeyState,
+    Refusal,
+    ReleaseKey,
+    RequestStart,
+)
 
 MAX_RECORDS: Final = 100_000
 MAX_STORED_ANSWER_BYTES: Final = 64 * 1024
@@ -27,7 +34,8 @@
     Attributes:
         fingerprint: digest of the request under which the key was first used.
         owner: run of the agent that runs the request, NAME/RUN.
-        ended: set once the outcome is known, or known to be unknown.
+        ended: set once the outcome is known, or known to be unknown, or the key was released.
+        released: whether the request provably did not run and the key is free again.
         start: stored start of the answer.
         body: stored body of the answer.
         refusal: stored refusal, if the request ended in one.
@@ -39,22 +47,28 @@
     start: AnswerStart | None = None
     body: bytes | None = None
     refusal: Refusal | None = None
+    released: bool = False
 
 
 class KeyRecords:
-    """Records by entry and key; the oldest ended ones go first."""
+    """Records by entry and key; the oldest go first.
+
+    Attributes:
+        evicted: records that had to make room; of those nothing is known.
+    """
 
     def __init__(self) -> None:
+        self.evicted = 0
         self._lock = threading.Lock()
         self._records: OrderedDict[tuple[int, str], KeyRecord] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._records)
 
-    def find(self, req: RequestStart) -> KeyRecord | None:
+    def find(self, entry_id: int, key: str) -> KeyRecord | None:
         """Return the record of a key."""
         with self._lock:
-            return self._records.get((req.entry_id, req.idempotency_key))
+            return self._records.get((entry_id, key))
 
     def items(self) -> list[tuple[tuple[int, str], KeyRecord]]:
         """Return all records."""
@@ -97,18 +111,20 @@
                 record.refusal = msg.refusal
                 record.ended.set()
 
-    def forget(self, entry_id: int, key: str, owner: str) -> None:
-        """Remove a key of another agent whose request provably did not run."""
+    def forget(self, msg: ReleaseKey) -> None:
+        """Free a key whose request provably did not run at the agent that owned it."""
         with self._lock:
-            record = self._records.get((entry_id, key))
-            if record is None or record.ended.is_set():
+            record = self._records.get((msg.entry_id, msg.key))
+            if record is None or record.ended.is_set() or record.owner != msg.owner:
                 return
-            if record.owner.partition("/")[0] == owner:
-                del self._records[(entry_id, key)]
+            del self._records[(msg.entry_id, msg.key)]
+        record.released = True
+        record.ended.set()
 
     def _evict(self) -> None:
         while len(self._records) > MAX_RECORDS:
             self._records.popitem(last=False)
+            self.evicted += 1
 
 
 def fingerprint(req: RequestStart) -> bytes:
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -2,7 +2,8 @@
 
 The home asks the backup to record a key and waits for its answer before the request is
 delivered; without the answer the request is refused as not run. Outcomes follow without
-waiting.
+waiting. An outcome or a release may be lost with its stream, or overtaken by a hand-over: whoever
+waits for an outcome asks the owner.
 """
 
 from __future__ import annotations
@@ -27,18 +28,27 @@
 from lentilcourse.model import State
 
 CLAIM_TIMEOUT_S: Final = 0.5
+"""Time for a backup to record a key: many round trips, and a quarter of the silence after which
+a stream is given up."""
 
 
 class KeyReplication:
     """Records of keys at this agent, as home or backup."""
 
     def __init__(
-        self, *, name: str, agent_run: str, records: KeyRecords, peers: AgentPeers
+        self,
+        *,
+        name: str,
+        agent_run: str,
+        records: KeyRecords,
+        peers: AgentPeers,
+        claim_timeout_s: float = CLAIM_TIMEOUT_S,
     ) -> None:
         self._name = name
         self._agent_run = agent_run
         self._records = records
         self._peers = peers
+        self._claim_timeout_s = claim_timeout_s
         self._lock = threading.Lock()
         self._history = KeyHistory(name=name)
         self._table: BucketTable = EMPTY_TABLE
@@ -105,7 +115,7 @@
             self._peers.send(
                 backup, self._state(req.entry_id, req.idempotency_key, record, claim_id)
             )
-            return acknowledged.wait(timeout=CLAIM_TIMEOUT_S)
+            return acknowledged.wait(timeout=self._claim_timeout_s)
         finally:
             self._claims.pop(claim_id, None)
 
@@ -117,7 +127,12 @@
     def release(self, req: RequestStart) -> None:
         """Tell the holders that a key's request provably did not run."""
         for holder in self._holders(req.idempotency_key):
-            self._peers.send(holder, ReleaseKey(entry_id=req.entry_id, key=req.idempotency_key))
+            self._peers.send(holder, self._release_of(req.entry_id, req.idempotency_key))
+
+    def ask_owner(self, req: RequestStart, record: KeyRecord) -> None:
+        """Ask the owner of a record for the outcome, which may have been lost on its way."""
+        owner = record.owner.partition("/")[0]
+        self._peers.send(owner, self._state(req.entry_id, req.idempotency_key, record, ""))
 
     @singledispatchmethod
     def on_message(self, msg: object, peer: str) -> None:
@@ -125,10 +140,24 @@
 
     @on_message.register
     def _on_state(self, msg: KeyState, peer: str) -> None:
+        if msg.owner == self.own_run and not msg.ended and not self._records.evicted:
+            self._settle(msg, peer)
+            return
         self._records.merge(msg)
         if msg.claim_id:
             self._peers.send(peer, ClaimAcknowledged(claim_id=msg.claim_id))
 
+    def _settle(self, msg: KeyState, peer: str) -> None:
+        """Answer a peer that has no outcome of a request of this run.
+
+        Its word may be older than a release here, so it is never recorded.
+        """
+        record = self._records.find(msg.entry_id, msg.key)
+        if record is None:
+            self._peers.send(peer, self._release_of(msg.entry_id, msg.key))
+        elif record.ended.is_set():
+            self._peers.send(peer, self._state(msg.entry_id, msg.key, record, ""))
+
     @on_message.register
     def _on_acknowledged(self, msg: ClaimAcknowledged, peer: str) -> None:
         waiting = self._claims.get(msg.claim_id)
@@ -137,7 +166,7 @@
 
     @on_message.register
     def _on_release(self, msg: ReleaseKey, peer: str) -> None:
-        self._records.forget(msg.entry_id, msg.key, peer)
+        self._records.forget(msg)
 
     @on_message.register
     def _on_complete(self, msg: KeysComplete, peer: str) -> None:
@@ -176,6 +205,9 @@
         candidates = self._table.candidates[bucket_of(key.encode())]
         return candidates[1] if len(candidates) > 1 else None
 
+    def _release_of(self, entry_id: int, key: str) -> ReleaseKey:
+        return ReleaseKey(entry_id=entry_id, key=key, owner=self.own_run)
+
     def _state(self, entry_id: int, key: str, record: KeyRecord, claim_id: str) -> KeyState:
         return KeyState(
             entry_id=entry_id,
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -55,6 +55,9 @@
 CREDIT_WAIT_S: Final = 30.0
 STORED_WAIT_S: Final = 30.0
 OUTCOME_POLL_S: Final = 0.1
+ASK_OWNER_S: Final = 0.5
+"""Pause between two questions to the owner of a key that a request waits for: as long as a
+backup may take to record a key."""
 DRAIN_TIMEOUT_S: Final = 30.0
 
 
@@ -226,7 +229,7 @@
         self._send(job.stream, self.evidence())
 
     def _run_keyed(self, job: Job) -> Refusal | None:
-        if self.records.find(job.req) is None:
+        if self.records.find(job.req.entry_id, job.req.idempotency_key) is None:
             verdict = self._keys.judge(job.req.idempotency_key)
             if verdict is KeyVerdict.MAYBE_USED:
                 return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
@@ -256,6 +259,8 @@
             return job.refuse(Cause.KEY_REUSED, RAN_NO)
         if not self._await_outcome(job, record):
             return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
+        if record.released:
+            return job.refuse(Cause.NOT_HOME, RAN_NO)
         if record.refusal is not None:
             return record.refusal
         if record.start is None or record.body is None:
@@ -269,9 +274,14 @@
     def _await_outcome(self, job: Job, record: KeyRecord) -> bool:
         """Wait until the outcome of a record is known; returns False if it will not be."""
         wait_until = min(job.deadline, time.monotonic() + STORED_WAIT_S)
+        ask_at = time.monotonic()
         while not record.ended.wait(timeout=OUTCOME_POLL_S):
-            if not self._keys.owner_runs(record) or time.monotonic() >= wait_until:
+            now = time.monotonic()
+            if not self._keys.owner_runs(record) or now >= wait_until:
                 return False
+            if now >= ask_at:
+                self._keys.ask_owner(job.req, record)
+                ask_at = now + ASK_OWNER_S
         return True
 
     def _run_admitted(self, job: Job) -> Refusal | None:
--- a/lentilcourse/messages/requests.py
+++ b/lentilcourse/messages/requests.py
@@ -134,7 +134,10 @@
 @message
 @attrs.frozen(kw_only=True)
 class KeyState:
-    """One recorded key, as its owner knows it.
+    """One recorded key, as its sender knows it.
+
+    Sent to the owner itself without an outcome, it asks for the outcome: the owner answers with
+    its own record, with `ReleaseKey` where it runs no such request, or not while it runs it.
 
     Attributes:
         entry_id: entry of the request.
@@ -170,10 +173,17 @@
 @message
 @attrs.frozen(kw_only=True)
 class ReleaseKey:
-    """The request under a key provably did not run."""
+    """The request under a key provably did not run at one run of an agent.
+
+    Attributes:
+        entry_id: entry of the request.
+        key: idempotency key.
+        owner: that run, NAME/RUN.
+    """
 
     entry_id: int
     key: str
+    owner: str
 
 
 @message
