Measure the wait for an owner: a histogram, a log line, a property

Change: lentilcourse_steering_lookup_seconds, flow_found (owner, wait, packets kept meanwhile); steering.lookup_loses_no_packet (fails when packets are not kept).

--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -22,7 +22,11 @@
 from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_SYN
-from lentilcourse.steering.balancer_flows import MAX_DENIALS_AT_ONCE, SEARCH_PAUSE_S
+from lentilcourse.steering.balancer_flows import (
+    MAX_DENIALS_AT_ONCE,
+    MAX_KEPT_PACKETS,
+    SEARCH_PAUSE_S,
+)
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 from properties import prop
 from properties.steering_world import (
@@ -95,6 +99,23 @@
     assert len(holder.took) == 2
 
 
+@prop("steering.lookup_loses_no_packet")
+@given(st.integers(0, 1000), st.integers(1, MAX_KEPT_PACKETS + 1))
+def check_lookup(seed, packets):
+    """Packets that come while the owner is sought reach it in order; the first finds it."""
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    taken = len(holder.took)
+    sent = [packet(caller(1), FLAG_ACK, b"%03d" % each, ack=5) for each in range(packets)]
+    for raw in sent:
+        world.balancers["b2"].on_caller(raw, world.now)
+    world.settle()
+    assert [raw[-3:] for raw in holder.took[taken:]] == [raw[-3:] for raw in sent]
+    assert sum(world.balancers["b2"].lookups.counts) == 1
+    assert world.balancers["b2"].lookups.total_s < SEARCH_PAUSE_S
+    assert world.balancers["b2"].counts.sought == 1
+
+
 @prop("steering.nobody_holds_is_reset")
 @given(st.integers(0, 1000), st.booleans())
 def check_reset(seed, known):
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -14,6 +14,7 @@
 import attrs
 
 from lentilcourse.clocks import MS_PER_S
+from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
@@ -87,11 +88,13 @@
     """A search for the owner of a flow.
 
     Attributes:
+        began: when it began.
         sent: when a packet was last sent to all agents.
         pause_s: time for which no other is sent.
         packets: packets that came since, in order.
     """
 
+    began: float
     sent: float
     pause_s: float = SEARCH_PAUSE_S
     packets: list[bytes] = attrs.field(factory=list)
@@ -113,7 +116,13 @@
 
 
 class BalancerFlows:
-    """All flows of one balancer; methods may be called from any task."""
+    """All flows of one balancer; methods may be called from any task.
+
+    Attributes:
+        counts: what was done with packets.
+        loads: what is known of the agents' load.
+        lookups: times from the first packet of a flow without a known owner to the owner's notice.
+    """
 
     def __init__(
         self,
@@ -131,6 +140,7 @@
     ) -> None:
         self.counts = BalancerFlowCounts()
         self.loads = AgentLoads()
+        self.lookups = LatencyHistogram()
         self._format = packet_format
         self._placement = placement
         self._peers = peers
@@ -270,7 +280,7 @@
         peers = self._peers.table().everyone
         ask_all = search is not None or len(peers) <= MAX_DENIALS_AT_ONCE
         if search is None:
-            search = self._searches[packet.flow] = Search(sent=now)
+            search = self._searches[packet.flow] = Search(began=now, sent=now)
         else:
             search.pause_s = min(2 * search.pause_s, MAX_SEARCH_PAUSE_S)
         search.sent = now
@@ -283,7 +293,17 @@
     def _end_search(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
         """Hand the kept packets of a flow to its owner, unless they are too old to matter."""
         search = self._searches.pop(flow, None)
-        if search is None or now - search.sent > SEARCH_PAUSE_S:
+        if search is None:
+            return
+        self.lookups.observe(now - search.began)
+        _log.info(
+            "flow_found",
+            flow=flow_text(flow),
+            owner=owner[0],
+            waited_ms=int((now - search.began) * MS_PER_S),
+            kept=len(search.packets),
+        )
+        if now - search.sent > SEARCH_PAUSE_S:
             return
         for raw in search.packets:
             self._to_peer(self._carry_head + raw, owner)
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -58,6 +58,7 @@
     metrics = context.metrics
     metrics.counters_of("lentilcourse.steering", flows.counts)
     metrics.gauge("lentilcourse.steering.known_flows", lambda: flows.known_flows)
+    metrics.histogram("lentilcourse.steering.lookup", flows.lookups)
     metrics.counter("lentilcourse.packets.malformed", lambda: callers.malformed)
     metrics.counter("lentilcourse.packets.unsent", lambda: callers.unsent + agents.unsent)
     tasks = lifecycle.pool(name="steering", limit=3)
