--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -9,7 +9,7 @@
 import random
 import threading
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeVar
 
 import attrs
 
@@ -55,6 +55,8 @@
 HINT_SLACK_S: Final = 5.0
 """Time for which a hint is kept beyond the idle time of flows."""
 
+T = TypeVar("T")
+
 _log = get_logger(__name__)
 
 
@@ -195,22 +197,12 @@
                 self._learn(notice, now)
 
     def sweep(self, now: float) -> None:
-        """Forget flows that have been idle for too long."""
+        """Forget flows that have been idle for too long, and what was sought too long ago."""
         life_s = self._state().catalogue.flow_idle_s + HINT_SLACK_S
         with self._lock:
-            idle = [flow for flow, hint in self._hints.items() if now - hint.seen > life_s]
-            for flow in idle:
-                del self._hints[flow]
-            late = [
-                flow for flow, each in self._denials.items() if now - each.began > DENIALS_LIFE_S
-            ]
-            for flow in late:
-                del self._denials[flow]
-            ended = [
-                flow for flow, each in self._searches.items() if now - each.sent > SEARCH_LIFE_S
-            ]
-            for flow in ended:
-                del self._searches[flow]
+            _drop(self._hints, lambda hint: now - hint.seen > life_s)
+            _drop(self._denials, lambda denials: now - denials.began > DENIALS_LIFE_S)
+            _drop(self._searches, lambda search: now - search.sent > SEARCH_LIFE_S)
 
     def _on_opening(self, packet: FlowPacket, hint: Hint | None, now: float) -> None:
         route = self._routes.find(packet.entry)
@@ -367,3 +359,9 @@
             attempt=packet.attempt,
             catalogue=self._state().catalogue.number,
         )
+
+
+def _drop(records: dict[bytes, T], outdated: Callable[[T], bool]) -> None:
+    """Remove the records of flows that are outdated."""
+    for flow in [flow for flow, record in records.items() if outdated(record)]:
+        del records[flow]
--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -71,8 +71,8 @@
         report = Path(folder) / "report.json"
         command = [
             *(sys.executable, "-m", "behave", "--no-skipped", "--no-timings"),
-            *("--format", "progress3", "--outfile", "/dev/stdout"),
             *("--format", "json", "--outfile", str(report)),
+            *("--format", "progress3"),
             *(arguments or ["features"]),
         ]
         result = subprocess.run(command, cwd=ROOT, check=False)
