A reset by another target ends no flow

A machine of a release had an agent but no announced server yet; the agent tried its server, as it may have forgotten flows. That server did not give the packet back but answered with a reset of its own. The agent took the answer for proof that the server holds the flow, claimed it and passed the reset on, while the flow's server served. Ruled out: a reset of ours (no flow_reset in any log); a stale record at the agent (it had just started); the search (the owner claimed the flow as well, 1 ms before or after). Change: a reset that answers a search is a denial that carries this reset; its caller gets it only where every agent that may hold the flow denies it. Answers to carried packets pass as before. Test: steering.reset_by_another_target_ends_no_flow, seen failing first.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -8,6 +8,7 @@
       | steering.open_flow_keeps_its_target             |
       | steering.wrong_tries_are_few                    |
       | steering.lookup_loses_no_packet                 |
+      | steering.reset_by_another_target_ends_no_flow   |
       | steering.nobody_holds_is_reset                  |
       | steering.no_reset_while_an_agent_is_missing     |
       | steering.opening_copies_meet_one_target         |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -130,6 +130,30 @@
     assert reset[22:28] == packet(b"\0" * 6, 0)[28:34] and reset[28:34] == caller(1)
 
 
+@prop("steering.reset_by_another_target_ends_no_flow")
+@given(st.integers(0, 1000), st.booleans())
+def check_other_reset(seed, held):
+    """A target that resets what it does not hold ends no flow that another target holds.
+
+    Where nobody holds it, the caller gets one reset.
+    """
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    for name, target in world.targets.items():
+        if target is not holder:
+            target.resets = True
+            world.start_agent(name)
+    if not held:
+        world.restart_target(holder.agent)
+    world.resets()
+    taken = len(holder.took)
+    world.talk(1, "b2")
+    assert len(world.resets()) == (0 if held else 1)
+    if held:
+        world.talk(1, "b2")
+        assert len(holder.took) == taken + 2
+
+
 @prop("steering.no_reset_while_an_agent_is_missing")
 @given(st.integers(0, 1000), st.booleans())
 def check_no_reset(seed, restarted):
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -65,9 +65,13 @@
 
 @attrs.define(kw_only=True)
 class FakeTarget:
-    """A target: the flows that it holds, and the packets that reached it."""
+    """A target: the flows that it holds, and the packets that reached it.
+
+    One that `resets` answers a packet of a flow that it does not hold by a reset.
+    """
 
     agent: str
+    resets: bool = False
     flows: set = attrs.field(factory=set)
     took: list = attrs.field(factory=list)
     wrong: list = attrs.field(factory=list)
@@ -290,6 +294,9 @@
             self._answer(name, flow, FLAG_SYN | FLAG_ACK, b"")
         elif flow in target.flows:
             self._answer(name, flow, FLAG_ACK, b"OK")
+        elif target.resets:
+            target.wrong.append(flow)
+            self._answer(name, flow, FLAG_RST | FLAG_ACK, b"")
         else:
             target.wrong.append(flow)
             returned = raw[:12] + bytes((flags | FLAG_BOUNCED,)) + raw[13:]
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -235,6 +235,7 @@
                 self._deny_if_asked(envelope.kind, packet, envelope.balancer)
                 return
             record = self._assume(envelope, packet, now)
+            record.search = envelope.kind
         elif record.run != self._watch.run:
             self._deny_if_asked(envelope.kind, packet, envelope.balancer)
             return
@@ -291,6 +292,9 @@
 
     def _on_answer(self, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
+        if record is not None and packet.resetting and record.search:
+            self._on_search_reset(packet, record, now)
+            return
         if record is None:
             record = FlowRecord(
                 state=FlowState.HELD, run=self._watch.run, balancer=("", 0), began=now, seen=now
@@ -300,6 +304,7 @@
             self.handshakes.observe(now - record.began)
         newly = record.state is not FlowState.HELD or packet.accepting
         record.state = FlowState.HELD
+        record.search = 0
         record.run = self._watch.run
         record.seen = now
         if newly and record.balancer[1]:
@@ -313,6 +318,17 @@
         self.counts.answered += 1
         self._send_caller(packet.raw, packet.flow)
 
+    def _on_search_reset(self, packet: FlowPacket, record: FlowRecord, now: float) -> None:
+        """Take a reset that answers a search as a denial.
+
+        A target may reset a flow that it does not hold instead of giving the packet back, and
+        another target may hold it. The caller gets this reset where nobody does.
+        """
+        self._forget(packet.flow, now)
+        _log.info("flow_denied", flow=flow_text(packet.flow), reset=True)
+        if record.search == Kind.SEEK_ALL:
+            self._send_denial(packet.flow, packet.raw, record.balancer)
+
     def _claim(self, flow: bytes, record: FlowRecord, now: float) -> None:
         notice = OwnerNotice(load=self.load(now), flow=flow, owner=self._limits.own)
         self._outputs.to_peer(encode_owner(notice), record.balancer)
@@ -339,7 +355,6 @@
             self._deny(packet, balancer)
 
     def _deny(self, packet: FlowPacket, balancer: tuple[str, int]) -> None:
-        self.counts.denied += 1
         if packet.returned:
             _log.info(
                 "flow_denied",
@@ -347,9 +362,12 @@
                 target_run=self._watch.run,
                 balancer=balancer[0],
             )
-        notice = DenialNotice(
-            flow=packet.flow, agent=self._limits.own, reset=self._format.reset(packet)
-        )
+        self._send_denial(packet.flow, self._format.reset(packet), balancer)
+
+    def _send_denial(self, flow: bytes, reset: bytes, balancer: tuple[str, int]) -> None:
+        """Tell a balancer that the target does not hold a flow; `reset` would end it."""
+        self.counts.denied += 1
+        notice = DenialNotice(flow=flow, agent=self._limits.own, reset=reset)
         self._outputs.to_peer(encode_denial(notice), balancer)
 
     def _opening_envelope(self, record: FlowRecord, hops: int) -> Envelope:
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -37,6 +37,7 @@
         asked: when that request's first data passed.
         caller_closed: whether the caller has ended its side.
         target_closed: whether the target has ended its side.
+        search: kind of the search that led to an ASSUMED record; 0 for none.
     """
 
     state: FlowState
@@ -48,6 +49,7 @@
     asked: float = 0.0
     caller_closed: bool = False
     target_closed: bool = False
+    search: int = 0
 
 
 @attrs.define(kw_only=True)
