The stand-in target serves a little longer when it stops as planned

Cause (read in the code, not repeated): the stand-in announces that it drains and leaves once nothing runs; a request that its agent admitted just before is on its way and not counted yet. Ruled out: an agent that admits after it knows (admission reads the state first). Change: it serves for 0.5 s after its agent knows, as the platform's servers do for drainMs. The check is as it was.

--- a/lentilcourse/lab/target.py
+++ b/lentilcourse/lab/target.py
@@ -29,6 +29,9 @@
 FALL_S: Final = 3.0
 BASE_SERVICE_S: Final = 0.02
 COLD_FACTOR: Final = 4.0
+DRAIN_S: Final = 0.5
+"""Time for which a target goes on serving once its agent knows that it leaves: requests that were
+admitted before are on their way to it, and are not counted as running yet."""
 LEAVE_POLL_S: Final = 0.05
 
 
@@ -317,6 +320,7 @@
         announce(model, agent, udp, http)
     model.state = "draining"
     announce(model, agent, udp, http)
+    time.sleep(DRAIN_S)
     while model.running:
         time.sleep(LEAVE_POLL_S)
     model.state = "leaving"
