--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -200,11 +200,12 @@
     def _start(self, req: RequestStart, stream: Stream, jobs: dict[str, Job]) -> None:
         self.counts.received += 1
         now = time.monotonic()
-        entry = find_entry(self._copy.current, self._name, req.entry_id)
+        state = self._copy.current
+        entry = find_entry(state, self._name, req.entry_id)
         if entry is None:
-            self._send_refusal(
-                stream, req, system_refusal(Cause.UNKNOWN_ENTRY, RAN_NO, str(req.entry_id))
-            )
+            known = self._name in state.targets
+            cause = Cause.UNKNOWN_ENTRY if known else Cause.TARGET_GONE
+            self._send_refusal(stream, req, system_refusal(cause, RAN_NO, str(req.entry_id)))
             return
         deadline = now + req.timeout_ms / MS_PER_S if req.timeout_ms else float("inf")
         job = Job(req=req, entry=entry, stream=stream, deadline=deadline)
