Review: call what is there already, and look policies up once a catalogue

Found on reading the whole change: the policy of a service was searched in a list for each new flow, beside an index of routes that follows the same catalogue; flow records were made in three places; two branches of a search denied alike; asking the leader and checking its answer stood twice; the agent's packet socket was opened by hand beside open_datagram_socket; a caller's address was converted anew for each answer beside the cached unpack_host; two property modules carried requests between replicas by the same lines. Behaviour and assertions are as they were.

--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -154,6 +154,16 @@
     assert len(membership.voters()) == wanted
 
 
+def carry_request(replica, other, req, now):
+    """Let another replica answer a request of one, and that one take the answer."""
+    if hasattr(req, "pre_vote"):
+        reply = other.on_vote_request(req, now)
+        replica.on_vote_reply(other.replica_id, req, reply, now)
+    else:
+        reply = other.on_append_request(req, now)
+        replica.on_append_reply(other.replica_id, req, reply, now, now)
+
+
 class Group:
     """Three replicas that exchange requests one by one, without a network."""
 
@@ -189,14 +199,8 @@
 
     def _exchange(self, replica, peer):
         req = replica.next_request(peer, self.now)
-        if req is None or peer in self.down:
-            return
-        other = self.replicas[peer]
-        if hasattr(req, "pre_vote"):
-            replica.on_vote_reply(peer, req, other.on_vote_request(req, self.now), self.now)
-        else:
-            reply = other.on_append_request(req, self.now)
-            replica.on_append_reply(peer, req, reply, self.now, self.now)
+        if req is not None and peer not in self.down:
+            carry_request(replica, self.replicas[peer], req, self.now)
 
     def leaders(self):
         """Return the names of the replicas that lead."""
--- a/features/properties/founding.py
+++ b/features/properties/founding.py
@@ -27,6 +27,7 @@
 from lentilcourse.options import Address, DiscoverySettings
 from lentilcourse.streams import KIND_PROCESS, Identity
 from properties import prop
+from properties.formation import carry_request
 
 NAMES = ("a", "b", "c")
 SEEDS = tuple(Address(host=f"10.0.0.{number}", port=1) for number in (1, 2, 3))
@@ -128,20 +129,11 @@
             replica.tick(self.now)
             replica.write_proposals(self.now)
             for went, other in enumerate(self.replicas):
-                if came != went and not {(came, went), (went, came)} & self.cut:
-                    self.send(replica, other)
-
-    def send(self, replica, other):
-        req = replica.next_request(other.replica_id, self.now)
-        if req is None:
-            return
-        peer = other.replica_id
-        if hasattr(req, "pre_vote"):
-            reply = other.on_vote_request(req, self.now)
-            replica.on_vote_reply(peer, req, reply, self.now)
-        else:
-            reply = other.on_append_request(req, self.now)
-            replica.on_append_reply(peer, req, reply, self.now, self.now)
+                if came == went or {(came, went), (went, came)} & self.cut:
+                    continue
+                req = replica.next_request(other.replica_id, self.now)
+                if req is not None:
+                    carry_request(replica, other, req, self.now)
 
     def groups(self):
         """Return the groups that seeds know, by their members."""
--- a/lentilcourse/agent/flow_loop.py
+++ b/lentilcourse/agent/flow_loop.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import selectors
-import socket
 import time
 from typing import Final
 
@@ -11,7 +10,7 @@
 from lentilcourse.agent.flow_table import Flow
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.options import Address
-from lentilcourse.sockets import MAX_DATAGRAM_BYTES, SOCKET_BUFFER_BYTES
+from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
 POLL_S: Final = 0.25
 TICK_S: Final = 0.5
@@ -24,9 +23,7 @@
     def __init__(self, *, address: Address, lifecycle: Lifecycle) -> None:
         self._lifecycle = lifecycle
         self._selector = selectors.EpollSelector()
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
-        self._socket.bind(address.pair())
+        self._socket = open_datagram_socket(address)
         self._socket.setblocking(False)
         self._selector.register(self._socket, selectors.EVENT_READ)
         self._tick_due = 0.0
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -12,7 +12,7 @@
 from collections.abc import Mapping
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import Final
+from typing import Final, TypeVar
 
 from lentilcourse import error_texts
 from lentilcourse.actions import Change, Outcome
@@ -26,6 +26,8 @@
 from lentilcourse.options import Address
 from lentilcourse.streams import Identity, Stream, connect_stream
 
+Reply = TypeVar("Reply")
+
 PROPOSAL_TIMEOUT_S: Final = 3.0
 RETRY_DELAY_S: Final = 0.05
 
@@ -51,6 +53,15 @@
                 self._stream = None
                 raise
 
+    def ask(self, leader: Member | None, msg: object, reply_class: type[Reply]) -> Reply:
+        """Return the leader's answer; raises `NotLeaderError` without one, or `StreamError`."""
+        if leader is None:
+            raise NotLeaderError(error_texts.NOT_LEADER)
+        reply = self.call(leader, msg)
+        if not isinstance(reply, reply_class):
+            raise NotLeaderError(error_texts.NOT_LEADER)
+        return reply
+
     def _stream_to(self, leader: Member) -> Stream:
         stream = self._stream
         if stream is not None and self._leader_id == leader.replica_id and not stream.closed:
@@ -114,13 +125,8 @@
     def _submit_once(self, change: Change, deadline: float) -> Outcome:
         if self._replica.role is Role.LEADER:
             return self._submit_local(change, deadline)
-        leader = self._replica.leader()
-        if leader is None:
-            raise NotLeaderError(error_texts.NOT_LEADER)
-        reply = self._changes.call(leader, ForwardChange(change=change))
-        if not isinstance(reply, ChangeReply):
-            raise NotLeaderError(error_texts.NOT_LEADER)
-        return reply.outcome
+        msg = ForwardChange(change=change)
+        return self._changes.ask(self._replica.leader(), msg, ChangeReply).outcome
 
     def _submit_local(self, change: Change, deadline: float) -> Outcome:
         fut = self._replica.propose(change)
--- a/lentilcourse/controller/reads.py
+++ b/lentilcourse/controller/reads.py
@@ -53,13 +53,7 @@
         """Return the newest catalogue; raises `NotLeaderError` or `StreamError` if unsure."""
         if self._replica.role is Role.LEADER:
             return self.read_as_leader(now)
-        leader = self._replica.leader()
-        if leader is None:
-            raise NotLeaderError(error_texts.NOT_LEADER)
-        reply = self._leader.call(leader, ReadCatalogue())
-        if not isinstance(reply, CatalogueReply):
-            raise NotLeaderError(error_texts.NOT_LEADER)
-        return reply.catalogue
+        return self._leader.ask(self._replica.leader(), ReadCatalogue(), CatalogueReply).catalogue
 
     def read_as_leader(self, now: float) -> Catalogue:
         """Return the catalogue here once leadership is confirmed after `now`."""
--- a/lentilcourse/platform/packets.py
+++ b/lentilcourse/platform/packets.py
@@ -7,12 +7,12 @@
 
 from __future__ import annotations
 
-import socket
 import struct
 from typing import Final
 
 from lentilcourse import error_texts
 from lentilcourse.errors import PacketError
+from lentilcourse.steering.datagrams import unpack_host
 from lentilcourse.steering.packet_format import PACKET_FORMATS, FlowPacket
 
 HEAD_BYTES: Final = 34
@@ -70,7 +70,7 @@
 
     def caller_host(self, flow: bytes) -> str:
         """Return the caller's IPv4 address of a flow."""
-        return socket.inet_ntoa(flow[:4])
+        return unpack_host(flow[:4])
 
 
 def _read(raw: bytes, from_caller: bool) -> FlowPacket:
--- a/lentilcourse/steering/admission.py
+++ b/lentilcourse/steering/admission.py
@@ -6,11 +6,8 @@
 
 import attrs
 
-from lentilcourse.catalogue import Catalogue, ServicePolicy
-from lentilcourse.steering.datagrams import (
-    Envelope,
-    service_key,
-)
+from lentilcourse.catalogue import ServicePolicy
+from lentilcourse.steering.datagrams import Envelope, service_key
 from lentilcourse.steering.routes import Route
 
 
@@ -40,11 +37,6 @@
     caller_port: int
 
 
-def find_policy(catalogue: Catalogue, service: str) -> ServicePolicy | None:
-    """Return the policy of a service."""
-    return next((each for each in catalogue.services if each.name == service), None)
-
-
 def cold_openings(policy: ServicePolicy | None, limits: AgentLimits) -> int | None:
     """Return how many openings in one second a cold target takes, None for no limit.
 
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -21,7 +21,6 @@
     Decline,
     cold_openings,
     entry_allows,
-    find_policy,
 )
 from lentilcourse.steering.datagrams import (
     DenialNotice,
@@ -133,13 +132,7 @@
         if decline is not None:
             self._pass_on(envelope, packet, decline)
             return
-        self._flows[packet.flow] = FlowRecord(
-            state=FlowState.OFFERED,
-            run=self._watch.run,
-            balancer=envelope.balancer,
-            began=now,
-            seen=now,
-        )
+        self._remember(packet.flow, FlowState.OFFERED, envelope.balancer, now)
         self.counts.opened += 1
         self._log_taken(envelope, packet, now)
         self._deliver(packet, envelope)
@@ -159,7 +152,7 @@
         route = self._routes.find(packet.entry)
         if not entry_allows(route, envelope, state.catalogue.number, report.service):
             return Decline.WRONG_SERVICE
-        policy = find_policy(state.catalogue, report.service)
+        policy = self._routes.policy(report.service)
         if policy is not None and len(self._flows) >= policy.connections:
             return Decline.CONNECTIONS
         if not self._watch.take_opening(cold_openings(policy, self._limits), now):
@@ -223,20 +216,17 @@
     def _on_carry(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
         if record is None:
-            record = self._assume(envelope, packet, now)
+            record = self._remember(packet.flow, FlowState.ASSUMED, envelope.balancer, now)
         record.balancer = envelope.balancer
         self._note_caller(record, packet, now)
         self._deliver(packet, envelope)
 
     def _on_seek(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
-        if record is None:
-            if not self._may_have_forgotten(now):
-                self._deny_if_asked(envelope.kind, packet, envelope.balancer)
-                return
-            record = self._assume(envelope, packet, now)
+        if record is None and self._may_have_forgotten(now):
+            record = self._remember(packet.flow, FlowState.ASSUMED, envelope.balancer, now)
             record.search = envelope.kind
-        elif record.run != self._watch.run:
+        elif record is None or record.run != self._watch.run:
             self._deny_if_asked(envelope.kind, packet, envelope.balancer)
             return
         record.balancer = envelope.balancer
@@ -254,15 +244,13 @@
             return age_s < NO_TARGET_AFTER_S
         return age_s < self._limits.flow_life_s and not self._watch.whole_run
 
-    def _assume(self, envelope: Envelope, packet: FlowPacket, now: float) -> FlowRecord:
+    def _remember(
+        self, flow: bytes, state: FlowState, balancer: tuple[str, int], now: float
+    ) -> FlowRecord:
         record = FlowRecord(
-            state=FlowState.ASSUMED,
-            run=self._watch.run,
-            balancer=envelope.balancer,
-            began=now,
-            seen=now,
+            state=state, run=self._watch.run, balancer=balancer, began=now, seen=now
         )
-        self._flows[packet.flow] = record
+        self._flows[flow] = record
         return record
 
     def _note_caller(self, record: FlowRecord, packet: FlowPacket, now: float) -> None:
@@ -296,10 +284,7 @@
             self._on_search_reset(packet, record, now)
             return
         if record is None:
-            record = FlowRecord(
-                state=FlowState.HELD, run=self._watch.run, balancer=("", 0), began=now, seen=now
-            )
-            self._flows[packet.flow] = record
+            record = self._remember(packet.flow, FlowState.HELD, ("", 0), now)
         if packet.accepting and record.state is FlowState.OFFERED:
             self.handshakes.observe(now - record.began)
         newly = record.state is not FlowState.HELD or packet.accepting
--- a/lentilcourse/steering/routes.py
+++ b/lentilcourse/steering/routes.py
@@ -1,4 +1,7 @@
-"""Where new flows of each entry go, derived from the published catalogue."""
+"""Where new flows of each entry go and what services bear, from the published catalogue.
+
+Both are looked up for each new flow, so they are indexed once for each catalogue.
+"""
 
 from __future__ import annotations
 
@@ -7,7 +10,7 @@
 import attrs
 from xxhash import xxh3_64_intdigest
 
-from lentilcourse.catalogue import Catalogue, PublishedEntry
+from lentilcourse.catalogue import Catalogue, PublishedEntry, ServicePolicy
 from lentilcourse.steering.datagrams import pack_address, service_key
 
 
@@ -32,20 +35,30 @@
 
 
 class Routes:
-    """Routes of the catalogue in force, by packed entry address."""
+    """Routes and policies of the catalogue in force."""
 
     def __init__(self, *, catalogue: Callable[[], Catalogue]) -> None:
         self._catalogue = catalogue
         self._number = 0
         self._routes: dict[bytes, Route] = {}
+        self._policies: dict[str, ServicePolicy] = {}
 
     def find(self, entry: bytes) -> Route | None:
-        """Return the route of an entry address."""
+        """Return the route of an entry, by its packed address."""
+        self._refresh()
+        return self._routes.get(entry)
+
+    def policy(self, service: str) -> ServicePolicy | None:
+        """Return the policy of a service."""
+        self._refresh()
+        return self._policies.get(service)
+
+    def _refresh(self) -> None:
         catalogue = self._catalogue()
         if catalogue.number != self._number:
             self._routes = build_routes(catalogue)
+            self._policies = {policy.name: policy for policy in catalogue.services}
             self._number = catalogue.number
-        return self._routes.get(entry)
 
 
 def build_routes(catalogue: Catalogue) -> dict[bytes, Route]:
