Count datagrams and bytes by socket, and the copies that owner lookups send

Change: counters for datagrams and bytes of each socket and for the copies and bytes of lookups, on the metrics address and as one line packet_totals a second and process. No decision changes.

--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -27,6 +27,7 @@
 from lentilcourse.steering.membership import SystemView, create_system_view
 from lentilcourse.steering.packet_format import PACKET_FORMATS
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
+from lentilcourse.steering.traffic_log import TrafficLog
 
 MAINTENANCE_INTERVAL_S: Final = 0.25
 """Interval of load notices; also the maximum delay in detecting a silent target."""
@@ -56,13 +57,20 @@
 
 
 class SteeringAgent:
-    """An agent process."""
+    """An agent process.
+
+    Attributes:
+        peer_loop: socket for balancers and other agents.
+        watch: state of the target.
+        view: view of the system.
+        flows: flows of the target.
+    """
 
     def __init__(self, *, context: ProcessContext, cfg: SteeringAgentSettings) -> None:
         self._lifecycle = context.lifecycle
         self._process = context.settings.process
         self._cfg = cfg
-        self._peer_loop = DatagramLoop(address=cfg.peer_address, lifecycle=context.lifecycle)
+        self.peer_loop = DatagramLoop(address=cfg.peer_address, lifecycle=context.lifecycle)
         self._target_loop = DatagramLoop(address=cfg.outbound_address, lifecycle=context.lifecycle)
         self.watch = TargetWatch(
             address=cfg.target_address, announcement_life_s=cfg.announcement_life_s
@@ -84,7 +92,7 @@
                 target_address=cfg.target_address.pair(),
                 caller_port=cfg.caller_port,
             ),
-            outputs=AgentOutputs(to_peer=self._peer_loop.send, to_endpoint=self._target_loop.send),
+            outputs=AgentOutputs(to_peer=self.peer_loop.send, to_endpoint=self._target_loop.send),
             now=time.monotonic(),
         )
         self._domain_was_out = False
@@ -95,7 +103,7 @@
     def start(self) -> None:
         """Start the tasks of the agent."""
         tasks = self._lifecycle.pool(name="steering", limit=3)
-        tasks.submit(lambda: self._peer_loop.run(self.flows.on_peer))
+        tasks.submit(lambda: self.peer_loop.run(self.flows.on_peer))
         tasks.submit(lambda: self._target_loop.run(self.flows.on_target))
         tasks.submit(self._run_maintenance)
         self.view.subscription.start()
@@ -147,11 +155,11 @@
 
     def malformed(self) -> int:
         """Return the number of malformed datagrams."""
-        return self._peer_loop.malformed + self._target_loop.malformed
+        return self.peer_loop.malformed + self._target_loop.malformed
 
     def unsent(self) -> int:
         """Return the number of datagrams that the operating system refused to send."""
-        return self._peer_loop.unsent + self._target_loop.unsent
+        return self.peer_loop.unsent + self._target_loop.unsent
 
     def _report_departure(self) -> None:
         """Report that this agent is stopping with its target, then wait for the directory.
@@ -181,6 +189,7 @@
 
     def _run_maintenance(self) -> None:
         ticks = 0
+        traffic_log = TrafficLog(sources={"": self.flows.counts, "peer_": self.peer_loop.counts})
         while not self._lifecycle.stopped.wait(timeout=MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
             self.flows.send_load_notices(now)
@@ -188,6 +197,7 @@
             ticks += 1
             if ticks % MAINTENANCE_TICKS_PER_SWEEP == 0:
                 self.flows.sweep(now)
+                traffic_log.write()
                 self.view.directory.expire(now)
 
 
@@ -204,6 +214,7 @@
     server.start()
     metrics = context.metrics
     metrics.counters_of("lentilcourse.steering", agent.flows.counts)
+    metrics.counters_of("lentilcourse.datagrams.peer", agent.peer_loop.counts)
     metrics.gauge("lentilcourse.steering.open_flows", lambda: agent.flows.open_flows)
     metrics.gauge("lentilcourse.steering.in_flight", lambda: agent.flows.meter.in_flight)
     metrics.histogram("lentilcourse.steering.handshake", agent.flows.handshakes)
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -110,12 +110,17 @@
 
 @attrs.define(kw_only=True)
 class BalancerFlowCounts:
-    """Packet counters of a balancer since its start."""
+    """Packet counters of a balancer since its start.
+
+    `lookup_copies` and `lookup_bytes` count the datagrams that owner lookups sent.
+    """
 
     received: int = 0
     opened: int = 0
     carried: int = 0
     sought: int = 0
+    lookup_copies: int = 0
+    lookup_bytes: int = 0
     replaced: int = 0
     unknown_entry: int = 0
     no_target: int = 0
@@ -295,6 +300,8 @@
         self.counts.sought += 1
         _log.info("flow_sought", flow=flow_text(packet.flow), asked=len(peers), all=request_denials)
         datagram = (self._seek_all_header if request_denials else self._seek_header) + packet.raw
+        self.counts.lookup_copies += len(peers)
+        self.counts.lookup_bytes += len(peers) * len(datagram)
         for peer in peers:
             self._to_peer(datagram, peer.address)
 
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -13,6 +13,7 @@
 from lentilcourse.steering.membership import create_system_view
 from lentilcourse.steering.packet_format import PACKET_FORMATS
 from lentilcourse.steering.placement_policies import PLACEMENT_POLICIES
+from lentilcourse.steering.traffic_log import TrafficLog
 
 SWEEP_INTERVAL_S: Final = 1.0
 DRAIN_S: Final = 2.0
@@ -47,16 +48,23 @@
         has_catalogue = view.copy.current.catalogue.number > 0
         return has_catalogue and bool(view.peers.table().all_agents)
 
+    traffic_log = TrafficLog(
+        sources={"": flows.counts, "caller_": caller_loop.counts, "agent_": agent_loop.counts}
+    )
+
     def sweep() -> None:
         while not lifecycle.stopped.wait(timeout=SWEEP_INTERVAL_S):
             now = time.monotonic()
             flows.sweep(now)
+            traffic_log.write()
             view.directory.expire(now)
 
     context.admin.add_ready_check(ready)
     lifecycle.on_drain(lambda: time.sleep(DRAIN_S))
     metrics = context.metrics
     metrics.counters_of("lentilcourse.steering", flows.counts)
+    metrics.counters_of("lentilcourse.datagrams.caller", caller_loop.counts)
+    metrics.counters_of("lentilcourse.datagrams.agent", agent_loop.counts)
     metrics.gauge("lentilcourse.steering.known_flows", lambda: flows.known_flows)
     metrics.histogram("lentilcourse.steering.lookup", flows.lookups)
     metrics.counter("lentilcourse.packets.malformed", lambda: caller_loop.malformed)
--- a/lentilcourse/steering/loops.py
+++ b/lentilcourse/steering/loops.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+import attrs
+
 from lentilcourse.errors import PacketError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
@@ -17,10 +19,21 @@
 DatagramHandler = Callable[[bytes, float], None]
 
 
+@attrs.define(kw_only=True)
+class DatagramCounts:
+    """Datagrams and payload bytes that passed through one socket since its process started."""
+
+    received: int = 0
+    received_bytes: int = 0
+    sent: int = 0
+    sent_bytes: int = 0
+
+
 class DatagramLoop:
     """Reads a UDP socket and passes each datagram to a handler; sending is thread-safe.
 
     Attributes:
+        counts: datagrams and bytes received and sent.
         malformed: number of datagrams dropped as malformed.
         unsent: number of datagrams that the operating system refused to send.
         failed: number of datagrams whose handler raised an unexpected exception; each is logged,
@@ -28,6 +41,7 @@
     """
 
     def __init__(self, *, address: Address, lifecycle: Lifecycle) -> None:
+        self.counts = DatagramCounts()
         self.malformed = 0
         self.unsent = 0
         self.failed = 0
@@ -40,6 +54,7 @@
         stopped = self._lifecycle.stopped
         receive = self._socket.recv
         clock = time.monotonic
+        counts = self.counts
         while not stopped.is_set():
             try:
                 datagram = receive(MAX_DATAGRAM_BYTES)
@@ -49,6 +64,8 @@
                 if stopped.is_set():
                     return
                 continue
+            counts.received += 1
+            counts.received_bytes += len(datagram)
             try:
                 handle(datagram, clock())
             except PacketError:
@@ -63,3 +80,6 @@
             self._socket.sendto(datagram, address)
         except OSError:
             self.unsent += 1
+            return
+        self.counts.sent += 1
+        self.counts.sent_bytes += len(datagram)
