Look up the owner of a flow at a few agents instead of all

Cause: a balancer that did not know the owner of a flow sent its packet to every agent, 72 to 107 copies over a link of 1.8 Mbit/s, again and again. A change of the routers' table makes tens of flows unknown at once; their copies fill the link, answers, readiness checks and offers get lost, routers move flows to other balancers, which look them up in turn. Class of fault: an event costs work at every process, paid at the narrowest place, with nothing that bounds the sum.

Change: the two choices of placement are the first two agents in an order that each process derives from the flow's key (rendezvous hashing), so load still decides and the owner is known without a record. A balancer asks the first three. If they deny the flow, or do not answer, one agent searches: it asks the agents of the entry's services, flows share a datagram, at most one to each agent in 0.25 s. It resets the flow once all of them have denied it and none is missing from the directory. Entries carry the services that earlier catalogues named for them, so that the agents asked are those that may hold the flow and no others. Lookups no longer ask agents for load notices.

Two properties are replaced by stricter ones: many agents denied only a repeated lookup; a dead flow now costs its balancer at most four datagrams and three denials at any number of agents and is reset by the first lookup. The paced lookup must send three copies, not one to each agent.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -54,7 +54,15 @@
       | steering.search_tries_no_other_target          |
       | formation.restarted_controllers_exchange_agents_at_once |
       | steering.searches_are_paced |
-      | steering.many_agents_deny_only_when_asked_again |
+      | steering.dead_flow_costs_a_balancer_few_datagrams |
+      | steering.searches_share_datagrams |
+      | steering.owner_is_among_first_candidates |
+      | steering.moved_entry_keeps_its_flows |
+      | steering.queries_round_trip |
+      | steering.foreign_queries_are_refused |
+      | steering.added_balancers_do_not_stop_service |
+      | steering.restarted_balancers_do_not_stop_service |
+      | steering.service_returns_after_power_loss |
       | formation.late_commit_ends_no_task |
       | formation.many_agents_are_registered_in_parts |
       | formation.defect_in_one_datagram_stops_no_loop |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -16,6 +16,7 @@
     "consensus",
     "streams",
     "steering",
+    "steering_load",
     "placement",
     "platform",
     "formation",
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -8,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lentilcourse.actions import ForgetAgent, RegisterAgent
+from lentilcourse.actions import ForgetAgent, PublishCatalogue, RegisterAgent
+from lentilcourse.changes import build_delta
 from lentilcourse.controller.registrations import FORGET_AFTER_S, Registrations
 from lentilcourse.directory import (
     RECORD_LIFE_S,
@@ -19,14 +20,30 @@
     AgentRecord,
     Directory,
 )
+from lentilcourse.errors import PacketError
 from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_SYN
-from lentilcourse.steering.balancer_flows import (
+from lentilcourse.steering.datagrams import (
+    FLOW_BYTES,
+    MAX_FLOWS_PER_QUERY,
+    Envelope,
+    FlowQuery,
+    FlowReply,
+    Kind,
+    Possession,
+    decode_query,
+    decode_reply,
+    encode_envelope,
+    encode_query,
+    encode_reply,
+)
+from lentilcourse.steering.owner_lookups import (
+    LOOKUP_CANDIDATES,
     LOOKUP_RETRY_S,
     MAX_BUFFERED_PACKETS,
-    MAX_FIRST_LOOKUP_DENIALS,
 )
+from lentilcourse.steering.owner_searches import ROUND_INTERVAL_S
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 from properties import prop
 from properties.steering_world import (
@@ -38,6 +55,8 @@
 )
 
 HERE = Address(host="10.0.0.9", port=2)
+MAX_DATAGRAM_BYTES = 1472
+"""UDP payload that fits an Ethernet frame of 1,500 bytes."""
 
 
 def report(born=1, sequence=1, target_id="t", **changes):
@@ -414,23 +433,107 @@
     for number in range(packets):
         raw = packet(caller(1), FLAG_ACK, bytes((number,)), ack=5)
         balancer.on_caller(raw, world.now + number * 0.001)
-    assert len(world.queue) == len(world.agents)
+    assert len(world.queue) == LOOKUP_CANDIDATES
     world.deliver_all()
     assert [raw[34:] for raw in holder.received[taken:]] == [bytes((n,)) for n in range(packets)]
     assert balancer.counts.sought == 1
 
 
-@prop("steering.many_agents_deny_only_when_asked_again")
-@given(st.integers(0, 1000))
-def check_denials(seed):
-    """With many agents, the first lookup causes no denials; a repeated one resets a dead flow."""
-    world = SteeringWorld(agents=MAX_FIRST_LOOKUP_DENIALS + 1, balancers=2, seed=seed)
+@prop("steering.dead_flow_costs_a_balancer_few_datagrams")
+@given(st.integers(0, 1000), st.sampled_from([4, 20, 72]))
+def check_dead_flow_cost(seed, agents):
+    """A dead flow is reset after one lookup, which costs its balancer few datagrams.
+
+    They are as few with 72 agents as with 4: copies to all agents, or their denials, would fill
+    the link of a balancer, which is much slower than that of an agent.
+    """
+    world = SteeringWorld(agents=agents, balancers=2, seed=seed)
     holder = world.open_flow(1, "b1")
     world.restart_target(holder.agent)
     world.resets()
-    notices = world.balancers["b2"].counts.notices
-    world.send_data(1, "b2")
-    assert world.balancers["b2"].counts.notices == notices and world.resets() == []
-    world.now += 2 * LOOKUP_RETRY_S
+    counts = world.balancers["b2"].counts
+    notices = counts.notices
     world.send_data(1, "b2")
     assert len(world.resets()) == 1
+    assert counts.lookup_copies <= LOOKUP_CANDIDATES + 1
+    assert counts.notices - notices <= LOOKUP_CANDIDATES
+
+
+@prop("steering.searches_share_datagrams")
+@given(st.integers(0, 1000), st.integers(2, 60))
+def check_search_rounds(seed, flows):
+    """Searches for many flows send each agent one query in a round, not one for each flow.
+
+    The number of queries would otherwise grow with callers times agents when many targets are lost.
+    """
+    world = SteeringWorld(agents=6, balancers=1, seed=seed)
+    searcher = world.agents["a1"]
+    header = encode_envelope(Envelope(kind=Kind.SEARCH, hops=0, balancer=("10.1.0.1", 1)), b"")
+    for number in range(flows):
+        raw = packet(caller(number), FLAG_ACK, b"GET", ack=5)
+        searcher.on_peer(header + raw, world.now)
+    assert searcher.counts.queries == len(world.agents)
+    world.now += ROUND_INTERVAL_S
+    searcher.search_owners(world.now)
+    assert searcher.counts.queries == 2 * len(world.agents)
+    world.deliver_all()
+    assert len(world.resets()) == flows
+
+
+@prop("steering.owner_is_among_first_candidates")
+@given(st.integers(0, 1000))
+def check_candidates(seed):
+    """A new flow is placed at a candidate that a lookup asks first, also after an agent joins."""
+    world = SteeringWorld(agents=12, balancers=2, seed=seed)
+    for number in range(10):
+        world.open_flow(number, "b1")
+    world.add_agent("a13")
+    for number in range(10):
+        world.send_data(number, "b2")
+    assert world.balancers["b2"].counts.searches == 0
+    assert all(not target.misdelivered for target in world.targets.values())
+
+
+@prop("steering.moved_entry_keeps_its_flows")
+@given(st.integers(0, 1000))
+def check_moved_entry(seed):
+    """An open flow is found at its target after its entry was routed to another service."""
+    world = SteeringWorld(agents=3, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    for name in ("a4", "a5", "a6"):
+        world.add_agent(name, service="other")
+    moved = PublishCatalogue(name="catalogue", catalogue=catalogue(number=2, service="other"))
+    delta = build_delta(moved, world.state, 0)
+    world.state = attrs.evolve(world.state, catalogue=delta.catalogue)
+    world.send_data(1, "b2")
+    assert len(holder.received) == 2
+    assert world.resets() == []
+
+
+@prop("steering.queries_round_trip")
+@given(
+    st.dictionaries(
+        st.binary(min_size=FLOW_BYTES, max_size=FLOW_BYTES),
+        st.sampled_from(Possession),
+        max_size=MAX_FLOWS_PER_QUERY,
+    )
+)
+def check_queries(verdicts):
+    """Queries and replies are decoded as they were encoded, and fit an Ethernet frame."""
+    address = ("10.0.0.1", 7)
+    query = FlowQuery(searcher=address, flows=tuple(verdicts))
+    reply = FlowReply(agent=address, verdicts=verdicts)
+    assert decode_query(encode_query(query)) == query
+    assert decode_reply(encode_reply(reply)) == reply
+    assert len(encode_reply(reply)) <= MAX_DATAGRAM_BYTES
+
+
+@prop("steering.foreign_queries_are_refused")
+@given(st.binary(max_size=60))
+def check_foreign_queries(body):
+    """Bytes that are no query or reply raise `PacketError` and nothing else."""
+    for kind, decode in ((Kind.QUERY, decode_query), (Kind.REPLY, decode_reply)):
+        try:
+            decode(bytes((kind,)) + body)
+        except PacketError:
+            continue
--- /dev/null
+++ b/features/properties/steering_load.py
@@ -0,0 +1,271 @@
+"""Steering under load behind slow links: callers that retransmit, balancers with a bounded link.
+
+The simulation runs in virtual time. Each balancer sends through a link with a rate and a queue;
+what does not fit the queue is lost. Agents have links without limits.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+
+import attrs
+from xxhash import xxh3_64_intdigest
+
+from lentilcourse.platform.packets import FLAG_ACK, FLAG_RST, FLAG_SYN
+from properties import prop
+from properties.steering_world import SteeringWorld, caller, packet
+
+AGENTS = 72
+BALANCERS = 8
+CALLERS = 640
+LINK_BYTES_PER_S = 225_000
+"""1.8 Mbit/s."""
+MAX_QUEUE_S = 1.0
+"""Queue of a link; the pages speak of packets that wait for over half a second."""
+UDP_OVERHEAD_BYTES = 28
+DELAY_S = 0.001
+REQUEST_BYTES = 250
+REQUEST_PERIOD_S = 1.0
+RETRANSMISSIONS_S = (0.2, 0.4, 0.8)
+DEADLINE_S = 1.0
+AGENT_TICK_S = 0.25
+HEALTH_CHECK_S = 0.5
+HEALTH_REPLY_BYTES = 200
+MAX_MISSED_CHECKS = 2
+RESTART_S = 2.0
+WINDOW_S = 2.0
+MIN_SERVED = 0.9
+"""Share of requests that must be answered before their deadline in each window."""
+
+
+class Sink:
+    """Takes what `SteeringWorld` appends to a list, and hands it to a function."""
+
+    def __init__(self, take):
+        self.append = take
+
+
+class LoadedWorld(SteeringWorld):
+    """A simulated system in virtual time, with links and callers.
+
+    Routers send packets to the balancers in rotation. A flow stays at its balancer unless that one
+    leaves or one that joins takes it (rendezvous hashing). A balancer whose replies to two health
+    checks in turn are lost on its link leaves the rotation until one arrives.
+    """
+
+    def __init__(self, seed=1):
+        self._events = []
+        self._order = itertools.count()
+        self._link_free_at = {}
+        self.lost = Counter()
+        self.ended = Counter()
+        self.served = Counter()
+        super().__init__(agents=AGENTS, balancers=BALANCERS, seed=seed)
+        self.delivery_s = 0.0
+        self.queue = Sink(lambda item: self.after(DELAY_S, lambda: self._deliver(*item)))
+        self.to_callers = Sink(lambda raw: self.after(DELAY_S, lambda: self._receive(raw)))
+        self.stopped = set()
+        self.missed_checks = Counter()
+        self.began = self.now
+        self.callers = [Caller(world=self, number=number) for number in range(CALLERS)]
+        for each in self.callers:
+            self.after(REQUEST_PERIOD_S * each.number / CALLERS, each.request)
+        self._tick(0)
+        self._check_health()
+
+    def after(self, seconds, action):
+        """Run an action later."""
+        heapq.heappush(self._events, (self.now + seconds, next(self._order), action))
+
+    def run(self, until_s):
+        """Run all events until a time, in seconds since the start of the load."""
+        while self._events and self._events[0][0] <= self.began + until_s:
+            at, _, action = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            action()
+
+    def route(self, raw):
+        """Send a caller's packet to the balancer that its flow hashes to."""
+        flow = raw[22:34]
+        name = max(self.rotation(), key=lambda each: xxh3_64_intdigest(flow + each.encode()))
+        self.after(DELAY_S, lambda: self.balancers[name].on_caller(raw, self.now))
+
+    def rotation(self):
+        """Return the balancers that routers use: those that answer, or all if fewer than half."""
+        running = [name for name in self.balancers if name not in self.stopped]
+        ready = [name for name in running if self.missed_checks[name] < MAX_MISSED_CHECKS]
+        return ready if 2 * len(ready) >= len(running) else running
+
+    def restart_balancer(self, name):
+        """Stop a balancer; it comes back without hints."""
+        self.stopped.add(name)
+        self.start_balancer(name)
+        self.after(RESTART_S, lambda: self.stopped.discard(name))
+
+    def lose_power(self):
+        """Restart all targets, agents and balancers at once; all flows are lost."""
+        for name in self.agents:
+            self.targets[name].flows.clear()
+            self.start_agent(name)
+            self.announce(name, born=int(self.now * 1000))
+        for name in self.balancers:
+            self.start_balancer(name)
+
+    def current_window(self):
+        """Return the number of the current window."""
+        return int((self.now - self.began) // WINDOW_S)
+
+    def shares(self):
+        """Return the share of ended requests that were served, by window of their start."""
+        return [self.served[number] / self.ended[number] for number in sorted(self.ended)]
+
+    def _send_from_balancer(self, name, datagram, to):
+        self._send_on_link(name, len(datagram), lambda: self._deliver(datagram, to))
+
+    def _send_on_link(self, name, size, deliver):
+        """Send through the link of a balancer; returns False if its queue is full."""
+        free_at = max(self._link_free_at.get(name, self.now), self.now)
+        if free_at - self.now > MAX_QUEUE_S:
+            self.lost[name] += 1
+            return False
+        sent_at = free_at + (size + UDP_OVERHEAD_BYTES) / LINK_BYTES_PER_S
+        self._link_free_at[name] = sent_at
+        self.after(sent_at - self.now + DELAY_S, deliver)
+        return True
+
+    def _check_health(self):
+        for name in self.balancers:
+            answered = self._send_on_link(name, HEALTH_REPLY_BYTES, lambda: None)
+            self.missed_checks[name] = 0 if answered else self.missed_checks[name] + 1
+        self.after(HEALTH_CHECK_S, self._check_health)
+
+    def _receive(self, raw):
+        number = int.from_bytes(raw[30:32], "big")
+        self.callers[number].receive(raw)
+
+    def _tick(self, count):
+        for agent in self.agents.values():
+            agent.send_load_notices(self.now)
+            agent.search_owners(self.now)
+        if count % 4 == 0:
+            for name in self.directories:
+                self.refresh_directory(name)
+            for process in (*self.agents.values(), *self.balancers.values()):
+                process.sweep(self.now)
+        self.after(AGENT_TICK_S, lambda: self._tick(count + 1))
+
+
+@attrs.define(kw_only=True)
+class Caller:
+    """A caller with one flow at a time, which retransmits and gives up as the platform's do.
+
+    `window` is the window in which its current request started.
+    """
+
+    world: LoadedWorld
+    number: int
+    port: int = 40_000
+    opened: bool = False
+    waiting: bool = False
+    requests: int = 0
+    deadline: float = 0.0
+    window: int = 0
+
+    def request(self):
+        """Send a request, over a new flow if there is none."""
+        self.requests += 1
+        self.waiting = True
+        self.deadline = self.world.now + DEADLINE_S
+        self.window = self.world.current_window()
+        self._transmit(self.requests, 0)
+        number = self.requests
+        self.world.after(DEADLINE_S, lambda: self._give_up(number))
+        self.world.after(REQUEST_PERIOD_S, self.request)
+
+    def receive(self, raw):
+        """Handle a packet for the current flow."""
+        if raw[28:34] != self._address():
+            return
+        if raw[12] & FLAG_RST:
+            self._new_flow()
+            if self.waiting:
+                self._transmit(self.requests, 0)
+        elif raw[12] & FLAG_SYN and not self.opened:
+            self.opened = True
+            if self.waiting:
+                self._transmit(self.requests, 0)
+        elif raw.endswith(b"OK") and self.waiting:
+            self.waiting = False
+            self.world.ended[self.window] += 1
+            self.world.served[self.window] += 1
+
+    def _transmit(self, number, attempt):
+        if number != self.requests or not self.waiting or attempt > len(RETRANSMISSIONS_S):
+            return
+        if self.opened:
+            raw = packet(self._address(), FLAG_ACK, b"R" * REQUEST_BYTES, ack=5)
+        else:
+            raw = packet(self._address(), FLAG_SYN, ack=attempt)
+        self.world.route(raw)
+        if attempt < len(RETRANSMISSIONS_S):
+            opened, port = self.opened, self.port
+            self.world.after(
+                RETRANSMISSIONS_S[attempt],
+                lambda: (opened, port) == (self.opened, self.port)
+                and self._transmit(number, attempt + 1),
+            )
+
+    def _give_up(self, number):
+        if number == self.requests and self.waiting:
+            self.waiting = False
+            self.world.ended[self.window] += 1
+            self._new_flow()
+
+    def _new_flow(self):
+        self.port += 1
+        self.opened = False
+
+    def _address(self):
+        return caller(self.number)[:4] + self.port.to_bytes(2, "big")
+
+
+def restart_balancers_in_turn(world):
+    """Restart half of the balancers, one after the other, as in an upgrade."""
+    for number in range(1, BALANCERS // 2 + 1):
+        world.after(1.2 * number, lambda name=f"b{number}": world.restart_balancer(name))
+
+
+def add_balancers(world):
+    """Add two balancers without hints."""
+    for number in (BALANCERS + 1, BALANCERS + 2):
+        world.start_balancer(f"b{number}")
+
+
+def check_served(change):
+    """Check that callers are served in each window before and after a change."""
+    world = LoadedWorld()
+    world.run(4.0)
+    change(world)
+    world.run(14.0)
+    shares = world.shares()
+    assert min(shares) >= MIN_SERVED, (shares, dict(world.lost))
+
+
+@prop("steering.restarted_balancers_do_not_stop_service")
+def check_restarted():
+    """Lookups do not fill links while balancers restart in turn (incident of 2026-12-04, SHORT)."""
+    check_served(restart_balancers_in_turn)
+
+
+@prop("steering.added_balancers_do_not_stop_service")
+def check_added():
+    """Lookups do not fill the links of balancers that were just added (2026-12-04, SHORT)."""
+    check_served(add_balancers)
+
+
+@prop("steering.service_returns_after_power_loss")
+def check_power_loss():
+    """Lookups for dead flows do not hold up new ones after a power loss (2026-12-04, RECOVER)."""
+    check_served(LoadedWorld.lose_power)
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -87,6 +87,7 @@
 
     def __init__(self, agents=3, balancers=2, seed=1, service="board", cold_rate=0.0):
         self.now = 100.0
+        self.delivery_s = STEP_S / 10
         self.format = PlatformPackets()
         self.rng = random.Random(seed)
         self.queue = deque()
@@ -149,6 +150,19 @@
         )
         self.announce(name)
 
+    def add_agent(self, name, service="board"):
+        """Start an agent with a target; all processes get to know it."""
+        self.records[name] = attrs.evolve(
+            self.records["a1"],
+            name=name,
+            address=Address(host=f"10.0.0.{name[1:]}", port=1),
+            service=service,
+        )
+        self.targets[name] = FakeTarget(agent=name)
+        self.start_agent(name)
+        for known in self.directories:
+            self.refresh_directory(known)
+
     def add_idle_agent(self, name):
         """Start an agent without a target; packets that it delivers are lost."""
         self.records[name] = attrs.evolve(
@@ -174,7 +188,7 @@
             state=lambda: self.state,
             own_address=(f"10.1.0.{name[1:]}", 1),
             domain="d0",
-            to_peer=self._send_to_peer,
+            to_peer=lambda datagram, to: self._send_from_balancer(name, datagram, to),
             to_caller=lambda raw, to: self.to_callers.append(raw),
             caller_port=CALLER_PORT,
             rng=self.rng,
@@ -266,7 +280,7 @@
             self._deliver(datagram, to)
 
     def _deliver(self, datagram, to):
-        self.now += STEP_S / 10
+        self.now += self.delivery_s
         if to[0].startswith("target-"):
             name = to[0].removeprefix("target-")
             if name not in self.down:
@@ -281,6 +295,9 @@
         if name in self.agents and name not in self.down:
             self.agents[name].on_peer(datagram, self.now)
 
+    def _send_from_balancer(self, name, datagram, to):
+        self._send_to_peer(datagram, to)
+
     def _send_to_peer(self, datagram, to):
         self.queue.append((datagram, to))
 
--- a/lentilcourse/catalogue.py
+++ b/lentilcourse/catalogue.py
@@ -35,6 +35,8 @@
         services: where new flows go.
         rank: rank of the traffic, 0 is served first.
         repeatable: whether its requests are idempotent.
+        former_services: services that earlier catalogues named for the same address and that may
+            still hold flows of it.
     """
 
     name: str
@@ -42,6 +44,7 @@
     services: tuple[WeightedService, ...]
     rank: int
     repeatable: bool
+    former_services: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -81,3 +84,21 @@
 
 
 NO_CATALOGUE: Final = Catalogue()
+
+
+def succeed_catalogue(former: Catalogue, published: Catalogue) -> Catalogue:
+    """Return a published catalogue whose entries name the services that `former` had for them."""
+    former_entries = {entry.address: entry for entry in former.entries}
+    entries = (
+        _with_former_services(entry, former_entries.get(entry.address))
+        for entry in published.entries
+    )
+    return attrs.evolve(published, entries=tuple(entries))
+
+
+def _with_former_services(entry: PublishedEntry, former: PublishedEntry | None) -> PublishedEntry:
+    if former is None:
+        return entry
+    current = {each.service for each in entry.services}
+    named = {each.service for each in former.services} | set(former.former_services)
+    return attrs.evolve(entry, former_services=tuple(sorted(named - current)))
--- a/lentilcourse/changes.py
+++ b/lentilcourse/changes.py
@@ -32,6 +32,7 @@
     SetShares,
     Verdict,
 )
+from lentilcourse.catalogue import succeed_catalogue
 from lentilcourse.errors import ChangeRefusedError, InvalidChangeError, VersionConflictError
 from lentilcourse.model import (
     Domain,
@@ -114,7 +115,8 @@
 ) -> StateDelta | None:
     if action.catalogue.number <= state.catalogue.number:
         return None
-    return StateDelta(version=state.version + 1, catalogue=action.catalogue)
+    catalogue = succeed_catalogue(state.catalogue, action.catalogue)
+    return StateDelta(version=state.version + 1, catalogue=catalogue)
 
 
 @build_delta.register
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -22,23 +22,32 @@
     cold_openings,
     entry_allows,
 )
+from lentilcourse.steering.candidates import next_candidate
 from lentilcourse.steering.datagrams import (
     DenialNotice,
     Envelope,
+    FlowQuery,
+    FlowReply,
     Kind,
     OwnerNotice,
+    Possession,
     Send,
     decode_envelope,
+    decode_kind,
+    decode_query,
+    decode_reply,
     encode_denial,
     encode_envelope,
     encode_owner,
+    encode_reply,
     flow_text,
     service_key,
 )
 from lentilcourse.steering.flow_records import AgentFlowCounts, FlowRecord, FlowState, is_over
 from lentilcourse.steering.load_meter import LoadMeter
+from lentilcourse.steering.owner_searches import OwnerSearches
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
-from lentilcourse.steering.peers import Peers, next_candidate
+from lentilcourse.steering.peers import Peers
 from lentilcourse.steering.routes import Routes
 from lentilcourse.steering.target_watch import TargetWatch
 
@@ -49,7 +58,11 @@
 FIRST_ANNOUNCEMENT_TIMEOUT_S: Final = 2.5
 """Time after process start without an announcement after which the agent assumes that it has
 no target: twice the longest announcement interval."""
-LOOKUP_KINDS: Final = frozenset((Kind.SEEK, Kind.SEEK_ALL))
+DENIAL_MEMORY_S: Final = 5.0
+"""Time for which the agent remembers that its target returned a packet of an unrecorded flow."""
+PLACED_KINDS: Final = frozenset((Kind.OPEN, Kind.CARRY))
+"""Datagrams whose balancer is sent load notices. Lookups reach agents that the balancer does not
+use otherwise."""
 HOP_BITS: Final = 4
 HOP_MASK: Final = (1 << HOP_BITS) - 1
 
@@ -103,7 +116,17 @@
         self._routes = Routes(catalogue=lambda: state().catalogue)
         self._started_at = now
         self._flows: dict[bytes, FlowRecord] = {}
+        self._denied: dict[bytes, float] = {}
+        self._searchers: dict[bytes, tuple[tuple[str, int], float]] = {}
         self._balancers: dict[tuple[str, int], float] = {}
+        self._searches = OwnerSearches(
+            own_address=limits.own_address,
+            peers=peers,
+            routes=self._routes,
+            to_peer=outputs.to_peer,
+            on_dead=self._reset_dead_flow,
+            counts=self.counts,
+        )
         self._lock = threading.Lock()
 
     @property
@@ -115,16 +138,27 @@
 
     def on_peer(self, datagram: bytes, now: float) -> None:
         """Handle a datagram from a balancer or agent; raises `PacketError` if it is malformed."""
+        kind = decode_kind(datagram)
+        if kind is Kind.QUERY:
+            self._on_query(decode_query(datagram), now)
+            return
+        if kind is Kind.REPLY:
+            with self._lock:
+                self._searches.on_reply(decode_reply(datagram), now)
+            return
         envelope, raw = decode_envelope(datagram)
         packet = self._format.read_caller(raw)
         with self._lock:
-            self._balancers[envelope.balancer] = now
+            if envelope.kind in PLACED_KINDS:
+                self._balancers[envelope.balancer] = now
             if envelope.kind is Kind.OPEN:
                 self._on_open(envelope, packet, now)
             elif envelope.kind is Kind.CARRY:
                 self._on_carry(envelope, packet, now)
-            elif envelope.kind in LOOKUP_KINDS:
+            elif envelope.kind is Kind.SEEK:
                 self._on_seek(envelope, packet, now)
+            elif envelope.kind is Kind.SEARCH:
+                self._on_search(envelope, packet, now)
 
     def _on_open(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
@@ -234,13 +268,14 @@
         self._deliver(packet, envelope)
 
     def _on_seek(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        verdict = self._verdict(packet.flow, now)
+        if verdict is Possession.DENIES:
+            self._send_denial(packet.flow, envelope.balancer)
+            return
         record = self._flows.get(packet.flow)
-        if record is None and self._may_hold_unrecorded_flows(now):
+        if record is None:
             record = self._create_record(packet.flow, FlowState.ASSUMED, envelope.balancer, now)
-            record.lookup_kind = envelope.kind
-        elif record is None or record.target_run != self._watch.run:
-            self._deny_if_requested(envelope.kind, packet, envelope.balancer)
-            return
+            record.from_lookup = True
         record.balancer = envelope.balancer
         if record.state is FlowState.HELD:
             self.counts.claimed += 1
@@ -249,6 +284,34 @@
         self._record_caller_packet(record, packet, now)
         self._deliver(packet, envelope)
 
+    def _on_search(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+        if self._verdict(packet.flow, now) is Possession.HOLDS:
+            self._on_seek(envelope, packet, now)
+        else:
+            self._searches.start(packet, envelope.balancer, now)
+
+    def _on_query(self, query: FlowQuery, now: float) -> None:
+        with self._lock:
+            verdicts = {flow: self._verdict(flow, now) for flow in query.flows}
+            for flow, verdict in verdicts.items():
+                if verdict is Possession.UNSURE:
+                    self._searchers[flow] = query.searcher, now
+        self._reply(query.searcher, verdicts)
+
+    def _reply(self, searcher: tuple[str, int], verdicts: dict[bytes, Possession]) -> None:
+        reply = FlowReply(agent=self._limits.own_address, verdicts=verdicts)
+        self._outputs.to_peer(encode_reply(reply), searcher)
+
+    def _verdict(self, flow: bytes, now: float) -> Possession:
+        """Return whether the target holds a flow."""
+        record = self._flows.get(flow)
+        if record is not None and record.target_run == self._watch.run:
+            return Possession.HOLDS if record.state is FlowState.HELD else Possession.UNSURE
+        if record is None and self._may_hold_unrecorded_flows(now):
+            denied_at = self._denied.get(flow, float("-inf"))
+            return Possession.DENIES if now - denied_at < DENIAL_MEMORY_S else Possession.UNSURE
+        return Possession.DENIES
+
     def _may_hold_unrecorded_flows(self, now: float) -> bool:
         """Return whether the target may hold flows that were opened before this process started."""
         age_s = now - self._started_at
@@ -296,7 +359,7 @@
 
     def _on_answer(self, packet: FlowPacket, now: float) -> None:
         record = self._flows.get(packet.flow)
-        if record is not None and packet.resetting and record.lookup_kind:
+        if record is not None and packet.resetting and record.from_lookup:
             self._on_lookup_reset(packet, record, now)
             return
         if record is None:
@@ -305,7 +368,7 @@
             self.handshakes.observe(now - record.created_at)
         newly_held = record.state is not FlowState.HELD or packet.accepting
         record.state = FlowState.HELD
-        record.lookup_kind = 0
+        record.from_lookup = False
         record.target_run = self._watch.run
         record.last_packet_at = now
         if newly_held and record.balancer[1]:
@@ -323,13 +386,10 @@
         """Treat a reset in reply to a lookup packet as a denial.
 
         A target may reset a flow that it does not hold instead of returning the packet, while
-        another target holds the flow. The balancer sends this reset to the caller only if no
-        target holds the flow.
+        another target holds the flow.
         """
         self._remove_record(packet.flow, now)
-        _log.info("flow_denied", flow=flow_text(packet.flow), reset=True)
-        if record.lookup_kind == Kind.SEEK_ALL:
-            self._send_denial(packet.flow, packet.raw, record.balancer)
+        self._deny(packet.flow, record.balancer, now)
 
     def _send_owner_notice(self, flow: bytes, record: FlowRecord, now: float) -> None:
         notice = OwnerNotice(load=self.load(now), flow=flow, owner=self._limits.own_address)
@@ -338,43 +398,44 @@
     def _on_returned(self, packet: FlowPacket, now: float) -> None:
         self.counts.returned += 1
         record = self._remove_record(packet.flow, now)
-        kind = packet.stamp >> HOP_BITS
         if record is None:
             return
-        if kind in LOOKUP_KINDS:
-            self._deny_if_requested(kind, packet, record.balancer)
-            return
+        kind = packet.stamp >> HOP_BITS
         hops = packet.stamp & HOP_MASK
         if kind == Kind.OPEN and packet.opening:
             envelope = self._opening_envelope(record, hops)
             self._forward_opening(envelope, packet, Decline.TARGET_FULL)
-        elif kind == Kind.CARRY:
-            self._deny(packet, record.balancer)
-            self._broadcast_lookup(packet, record)
-
-    def _deny_if_requested(self, kind: int, packet: FlowPacket, balancer: tuple[str, int]) -> None:
-        if kind == Kind.SEEK_ALL:
-            self._deny(packet, balancer)
-
-    def _deny(self, packet: FlowPacket, balancer: tuple[str, int]) -> None:
-        if packet.returned:
-            _log.info(
-                "flow_denied",
-                flow=flow_text(packet.flow),
-                target_run=self._watch.run,
-                balancer=balancer[0],
-            )
-        self._send_denial(packet.flow, self._format.reset(packet), balancer)
-
-    def _send_denial(self, flow: bytes, reset: bytes, balancer: tuple[str, int]) -> None:
-        """Notify a balancer that the target does not hold a flow.
-
-        `reset` is the packet that ends the flow at the caller if no other target holds it.
-        """
+            return
+        if kind in (Kind.SEEK, Kind.CARRY):
+            self._deny(packet.flow, record.balancer, now)
+        if kind == Kind.CARRY:
+            sought = self._format.read_caller(self._format.stamped(packet, 0))
+            self._searches.start(sought, record.balancer, now)
+
+    def _deny(self, flow: bytes, balancer: tuple[str, int], now: float) -> None:
+        """Remember that the target does not hold a flow, and notify all that have asked."""
+        self._denied[flow] = now
+        if flow in self._searchers:
+            searcher, _ = self._searchers.pop(flow)
+            self._reply(searcher, {flow: Possession.DENIES})
+        _log.info(
+            "flow_denied",
+            flow=flow_text(flow),
+            target_run=self._watch.run,
+            balancer=balancer[0],
+        )
+        self._send_denial(flow, balancer)
+
+    def _send_denial(self, flow: bytes, balancer: tuple[str, int]) -> None:
+        """Notify a balancer that the target does not hold a flow."""
         self.counts.denied += 1
-        notice = DenialNotice(flow=flow, agent=self._limits.own_address, reset=reset)
+        notice = DenialNotice(flow=flow, agent=self._limits.own_address)
         self._outputs.to_peer(encode_denial(notice), balancer)
 
+    def _reset_dead_flow(self, packet: FlowPacket) -> None:
+        self.counts.reset += 1
+        self._send_to_caller(self._format.reset(packet), packet.flow)
+
     def _opening_envelope(self, record: FlowRecord, hops: int) -> Envelope:
         report = self._watch.report
         service = service_key(report.service) if report is not None else b"\0" * 8
@@ -386,15 +447,6 @@
             service=service,
         )
 
-    def _broadcast_lookup(self, packet: FlowPacket, record: FlowRecord) -> None:
-        self.counts.sought += 1
-        _log.info("flow_sought", flow=flow_text(packet.flow), state=record.state.value)
-        envelope = Envelope(kind=Kind.SEEK_ALL, hops=1, balancer=record.balancer)
-        datagram = encode_envelope(envelope, self._format.stamped(packet, 0))
-        for peer in self._peers.table().all_agents:
-            if peer.address != self._limits.own_address:
-                self._outputs.to_peer(datagram, peer.address)
-
     def _send_to_caller(self, raw: bytes, flow: bytes) -> None:
         address = (self._format.caller_host(flow), self._limits.caller_port)
         self._outputs.to_endpoint(raw, address)
@@ -428,6 +480,17 @@
             expired = [flow for flow, record in self._flows.items() if is_over(record, idle_s, now)]
             for flow in expired:
                 self._remove_record(flow, now)
+            for flow in [key for key, at in self._denied.items() if now - at > DENIAL_MEMORY_S]:
+                del self._denied[flow]
+            for flow in [
+                key for key, (_, at) in self._searchers.items() if now - at > DENIAL_MEMORY_S
+            ]:
+                del self._searchers[flow]
+
+    def search_owners(self, now: float) -> None:
+        """Ask other agents about the flows whose owners are being searched for."""
+        with self._lock:
+            self._searches.run_round(now)
 
     def _remove_record(self, flow: bytes, now: float) -> FlowRecord | None:
         record = self._flows.pop(flow, None)
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -30,7 +30,8 @@
 from lentilcourse.steering.traffic_log import TrafficLog
 
 MAINTENANCE_INTERVAL_S: Final = 0.25
-"""Interval of load notices; also the maximum delay in detecting a silent target."""
+"""Interval of load notices and owner searches; also the maximum delay in detecting a silent
+target."""
 MAINTENANCE_TICKS_PER_SWEEP: Final = 4
 DEPARTURE_TIMEOUT_S: Final = 4.0
 """Maximum time for which a stopping agent waits until the directory shows it as gone. This is
@@ -193,6 +194,7 @@
         while not self._lifecycle.stopped.wait(timeout=MAINTENANCE_INTERVAL_S):
             now = time.monotonic()
             self.flows.send_load_notices(now)
+            self.flows.search_owners(now)
             self._report_target_state(now)
             ticks += 1
             if ticks % MAINTENANCE_TICKS_PER_SWEEP == 0:
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -46,7 +46,7 @@
 
     def ready() -> bool:
         has_catalogue = view.copy.current.catalogue.number > 0
-        return has_catalogue and bool(view.peers.table().all_agents)
+        return has_catalogue and bool(view.peers.table().names)
 
     traffic_log = TrafficLog(
         sources={"": flows.counts, "caller_": caller_loop.counts, "agent_": agent_loop.counts}
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -27,9 +27,12 @@
 HEADER: Final = struct.Struct(">BB4sHQ8s")
 OWNER: Final = struct.Struct(">H12s4sH")
 DENIAL: Final = struct.Struct(">12s4sH")
+QUERY_HEADER: Final = struct.Struct(">B4sH")
 LOAD_SCALE: Final = 1000
 MAX_LOAD: Final = 65.0
 FLOW_BYTES: Final = 12
+MAX_FLOWS_PER_QUERY: Final = 90
+"""Flows of one query or reply; with more, a reply would not fit an Ethernet frame."""
 
 
 class Kind(enum.IntEnum):
@@ -37,12 +40,15 @@
 
     OPEN: opening packet of a new flow, which the agent accepts or forwards to another agent.
     CARRY: packet of a flow that the receiving agent is presumed to own.
-    SEEK: broadcast owner lookup: the owner of the flow delivers the packet and notifies the
-        balancer.
-    SEEK_ALL: as SEEK, and all other agents reply with a denial.
+    SEEK: packet of a flow that the receiving agent may own: the owner delivers it and notifies the
+        balancer; all other agents reply with a denial.
     OWNER: the sender owns the flow (agent to balancer); also contains the sender's load.
     LOAD: load of the sender (agent to balancer).
     DENIAL: the target of the sender does not hold the flow (agent to balancer).
+    SEARCH: packet of a flow that none of its first candidates owns: the agent finds the owner or
+        resets the flow (balancer to agent).
+    QUERY: asks whether the receiver's target holds some flows (agent to agent).
+    REPLY: answers a query (agent to agent).
     """
 
     OPEN = 1
@@ -51,7 +57,9 @@
     OWNER = 4
     LOAD = 5
     DENIAL = 6
-    SEEK_ALL = 7
+    SEARCH = 8
+    QUERY = 9
+    REPLY = 10
 
 
 KINDS: Final = {kind.value: kind for kind in Kind}
@@ -90,14 +98,41 @@
 
 @attrs.frozen(kw_only=True)
 class DenialNotice:
-    """Reply of an agent whose target does not hold a flow.
+    """Reply of an agent whose target does not hold a flow."""
 
-    `reset` is the packet that ends the flow at its caller; it is sent if no target holds the flow.
+    flow: bytes
+    agent: tuple[str, int]
+
+
+class Possession(enum.IntEnum):
+    """An agent's answer to the question whether its target holds a flow.
+
+    HOLDS: it does. DENIES: it does not. UNSURE: only the target knows; it may have accepted the
+    flow before the agent started.
     """
 
-    flow: bytes
+    HOLDS = 1
+    DENIES = 2
+    UNSURE = 3
+
+
+VERDICTS: Final = {verdict.value: verdict for verdict in Possession}
+
+
+@attrs.frozen(kw_only=True)
+class FlowQuery:
+    """A question of the agent at `searcher` about flows, given by their keys."""
+
+    searcher: tuple[str, int]
+    flows: tuple[bytes, ...]
+
+
+@attrs.frozen(kw_only=True)
+class FlowReply:
+    """The answers of the agent at `agent` to a query, by flow key."""
+
     agent: tuple[str, int]
-    reset: bytes
+    verdicts: dict[bytes, Possession]
 
 
 @lru_cache(maxsize=4096)
@@ -197,15 +232,52 @@
 def encode_denial(notice: DenialNotice) -> bytes:
     """Encode a denial."""
     host, port = notice.agent
-    head = DENIAL.pack(notice.flow, pack_host(host), port)
-    return bytes((Kind.DENIAL,)) + head + notice.reset
+    return bytes((Kind.DENIAL,)) + DENIAL.pack(notice.flow, pack_host(host), port)
 
 
 def decode_denial(datagram: bytes) -> DenialNotice:
     """Decode a denial; raises `PacketError` if it is malformed."""
-    if len(datagram) <= DENIAL.size + 1:
+    if len(datagram) != DENIAL.size + 1:
         raise PacketError(error_texts.PACKET_SHORT.format(size=len(datagram)))
     flow, host, port = DENIAL.unpack_from(datagram, 1)
-    return DenialNotice(
-        flow=flow, agent=(unpack_host(host), port), reset=datagram[DENIAL.size + 1 :]
-    )
+    return DenialNotice(flow=flow, agent=(unpack_host(host), port))
+
+
+def encode_query(query: FlowQuery) -> bytes:
+    """Encode a query."""
+    host, port = query.searcher
+    return QUERY_HEADER.pack(Kind.QUERY, pack_host(host), port) + b"".join(query.flows)
+
+
+def decode_query(datagram: bytes) -> FlowQuery:
+    """Decode a query; raises `PacketError` if it is malformed."""
+    address, body = _read_query_header(datagram, FLOW_BYTES)
+    flows = (body[at : at + FLOW_BYTES] for at in range(0, len(body), FLOW_BYTES))
+    return FlowQuery(searcher=address, flows=tuple(flows))
+
+
+def encode_reply(reply: FlowReply) -> bytes:
+    """Encode a reply to a query."""
+    host, port = reply.agent
+    body = b"".join(flow + bytes((verdict,)) for flow, verdict in reply.verdicts.items())
+    return QUERY_HEADER.pack(Kind.REPLY, pack_host(host), port) + body
+
+
+def decode_reply(datagram: bytes) -> FlowReply:
+    """Decode a reply to a query; raises `PacketError` if it is malformed."""
+    size = FLOW_BYTES + 1
+    address, body = _read_query_header(datagram, size)
+    answers = [body[at : at + size] for at in range(0, len(body), size)]
+    if not all(answer[FLOW_BYTES] in VERDICTS for answer in answers):
+        raise PacketError(error_texts.PACKET_VERDICT)
+    verdicts = {answer[:FLOW_BYTES]: VERDICTS[answer[FLOW_BYTES]] for answer in answers}
+    return FlowReply(agent=address, verdicts=verdicts)
+
+
+def _read_query_header(datagram: bytes, item_bytes: int) -> tuple[tuple[str, int], bytes]:
+    """Return the sender's address and the body, which must consist of items of a fixed size."""
+    body = datagram[QUERY_HEADER.size :]
+    if len(datagram) < QUERY_HEADER.size or len(body) % item_bytes:
+        raise PacketError(error_texts.PACKET_SHORT.format(size=len(datagram)))
+    _, host, port = QUERY_HEADER.unpack_from(datagram)
+    return (unpack_host(host), port), body
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -1,4 +1,4 @@
-"""Flow records and packet counters of an agent."""
+"""Flow records of an agent, and packet counters of agents and balancers."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
         requested_at: time of the first data of that request.
         caller_closed: whether the caller has closed its side.
         target_closed: whether the target has closed its side.
-        lookup_kind: kind of the lookup that created an ASSUMED record; 0 for none.
+        from_lookup: whether an owner lookup created the record and its target has not answered.
     """
 
     state: FlowState
@@ -49,7 +49,7 @@
     requested_at: float = 0.0
     caller_closed: bool = False
     target_closed: bool = False
-    lookup_kind: int = 0
+    from_lookup: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -65,6 +65,28 @@
     sought: int = 0
     claimed: int = 0
     denied: int = 0
+    queries: int = 0
+    reset: int = 0
+
+
+@attrs.define(kw_only=True)
+class BalancerFlowCounts:
+    """Packet counters of a balancer since its start.
+
+    `lookup_copies` and `lookup_bytes` count the datagrams that owner lookups sent.
+    """
+
+    received: int = 0
+    opened: int = 0
+    carried: int = 0
+    sought: int = 0
+    searches: int = 0
+    lookup_copies: int = 0
+    lookup_bytes: int = 0
+    replaced: int = 0
+    unknown_entry: int = 0
+    no_target: int = 0
+    notices: int = 0
 
 
 def is_over(record: FlowRecord, idle_s: float, now: float) -> bool:
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -6,14 +6,20 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
-from xxhash import xxh3_64_intdigest
 
 from lentilcourse.directory import STATE_IDLE, STATE_SERVING, AgentRecord, Directory
 from lentilcourse.steering.datagrams import service_key
 from lentilcourse.subscription import StateCopy
 
 
+def hash_key(address: tuple[str, int]) -> bytes:
+    """Return the bytes that stand for the agent at a peer address in rendezvous hashing."""
+    return f"{address[0]}:{address[1]}".encode()
+
+
 @attrs.frozen(kw_only=True)
 class Peer:
     """An agent as used by steering.
@@ -23,12 +29,18 @@
         address: its peer address (host and port).
         domain: its failure domain.
         slots: number of requests that its target processes concurrently.
+        hash_key: bytes that stand for the agent in rendezvous hashing.
     """
 
     name: str
     address: tuple[str, int]
     domain: str
     slots: int
+    hash_key: bytes = attrs.field(init=False)
+
+    @hash_key.default
+    def _hash_address(self) -> bytes:
+        return hash_key(self.address)
 
 
 @attrs.frozen(kw_only=True)
@@ -36,18 +48,23 @@
     """Known agents.
 
     Attributes:
-        all_agents: all agents in the directory.
         serving: agents that accept new flows, by service key.
-        holders: addresses of agents whose targets may hold flows: all except agents that have
+        holders: agents whose targets may hold flows, by service key: all except agents that have
             never had a target.
+        unassigned: holders that do not know the service of their target, as after a restart.
         names: names of all agents in the directory.
     """
 
-    all_agents: tuple[Peer, ...] = ()
     serving: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
-    holders: frozenset[tuple[str, int]] = frozenset()
+    holders: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
+    unassigned: tuple[Peer, ...] = ()
     names: frozenset[str] = frozenset()
 
+    def holders_of(self, services: Iterable[bytes]) -> tuple[Peer, ...]:
+        """Return the agents that may hold flows of some services, given by their keys."""
+        known = tuple(peer for service in services for peer in self.holders.get(service, ()))
+        return known + self.unassigned
+
 
 class Peers:
     """Maintains the current table of agents."""
@@ -75,37 +92,26 @@
         state = self._copy.current
         records = self._directory.records()
         serving: dict[bytes, list[Peer]] = {}
+        holders: dict[bytes, list[Peer]] = {}
+        unassigned: list[Peer] = []
         for record in records:
+            peer, service = _peer(record), service_key(record.service)
             if record.state == STATE_SERVING and not state.domain_out(record.domain):
-                serving.setdefault(service_key(record.service), []).append(_peer(record))
+                serving.setdefault(service, []).append(peer)
+            if record.state == STATE_IDLE and record.name not in state.agents:
+                continue
+            if record.service:
+                holders.setdefault(service, []).append(peer)
+            else:
+                unassigned.append(peer)
         return PeerTable(
-            all_agents=tuple(_peer(record) for record in records),
-            holders=frozenset(
-                record.address.pair()
-                for record in records
-                if record.state != STATE_IDLE or record.name in state.agents
-            ),
-            names=frozenset(record.name for record in records),
             serving={key: tuple(peers) for key, peers in serving.items()},
+            holders={key: tuple(peers) for key, peers in holders.items()},
+            unassigned=tuple(unassigned),
+            names=frozenset(record.name for record in records),
         )
 
 
-def next_candidate(
-    flow: bytes, own_address: tuple[str, int], peers: tuple[Peer, ...]
-) -> Peer | None:
-    """Return the agent to try after `own_address`; the order of agents depends only on the flow."""
-    others = [peer for peer in peers if peer.address != own_address]
-    if not others:
-        return None
-    own_score = _score(flow, own_address)
-    after = [peer for peer in others if _score(flow, peer.address) > own_score]
-    return min(after or others, key=lambda peer: _score(flow, peer.address))
-
-
-def _score(flow: bytes, address: tuple[str, int]) -> int:
-    return xxh3_64_intdigest(flow + f"{address[0]}:{address[1]}".encode())
-
-
 def _peer(record: AgentRecord) -> Peer:
     return Peer(
         name=record.name,
--- a/lentilcourse/steering/placement_policies.py
+++ b/lentilcourse/steering/placement_policies.py
@@ -1,7 +1,9 @@
 """Placement policies, which select the agent that is offered a new flow.
 
-`two-choices` selects the cheaper of two random agents (power of two choices). `random` and
-`rendezvous` ignore load; they are the baselines for measuring placement.
+`two-choices` selects the cheaper of the flow's first two candidates (power of two choices). Their
+order is a hash of the flow's key, so they are as good as random ones, and a process that does not
+know the owner of a flow finds it among them. `random` and `rendezvous` ignore load; they are the
+baselines for measuring placement.
 """
 
 from __future__ import annotations
@@ -11,9 +13,9 @@
 from typing import Final, TypeAlias
 
 import attrs
-from xxhash import xxh3_64_intdigest
 
 from lentilcourse.kernel.registry import Registry
+from lentilcourse.steering.candidates import flow_candidates
 from lentilcourse.steering.peers import Peer
 from lentilcourse.steering.placement import AgentLoads
 
@@ -44,8 +46,8 @@
 
 @PLACEMENT_POLICIES.register("two-choices")
 def choose_of_two(offer: Offer, now: float) -> Peer:
-    """Return the agent with the lower cost out of two random ones."""
-    pair = offer.rng.sample(offer.peers, min(2, len(offer.peers)))
+    """Return the agent with the lower cost out of the flow's first two candidates."""
+    pair = flow_candidates(offer.flow, offer.peers, 2)
     return min(pair, key=lambda peer: offer.loads.cost(peer, offer.domain, now))
 
 
@@ -57,5 +59,5 @@
 
 @PLACEMENT_POLICIES.register("rendezvous")
 def choose_by_hash(offer: Offer, now: float) -> Peer:
-    """Return the agent with the highest hash of flow key and name (rendezvous hashing)."""
-    return max(offer.peers, key=lambda peer: xxh3_64_intdigest(offer.flow + peer.name.encode()))
+    """Return the flow's first candidate (rendezvous hashing)."""
+    return flow_candidates(offer.flow, offer.peers, 1)[0]
--- a/lentilcourse/steering/routes.py
+++ b/lentilcourse/steering/routes.py
@@ -22,11 +22,13 @@
         entry: the published entry.
         service_keys: keys of the services with a weight above 0.
         cumulative_weights: cumulative weights of `service_keys`.
+        holder_keys: keys of all services that may hold flows of the entry.
     """
 
     entry: PublishedEntry
     service_keys: tuple[bytes, ...]
     cumulative_weights: tuple[int, ...]
+    holder_keys: tuple[bytes, ...]
 
     def service_for(self, flow: bytes) -> bytes:
         """Return the service key for a new flow; retransmitted opening packets get the same one."""
@@ -79,6 +81,10 @@
             total += weighted.weight
             service_keys.append(service_key(weighted.service))
             cumulative_weights.append(total)
+    holders = (*(weighted.service for weighted in entry.services), *entry.former_services)
     return Route(
-        entry=entry, service_keys=tuple(service_keys), cumulative_weights=tuple(cumulative_weights)
+        entry=entry,
+        service_keys=tuple(service_keys),
+        cumulative_weights=tuple(cumulative_weights),
+        holder_keys=tuple(dict.fromkeys(service_key(service) for service in holders)),
     )
