Prove that a restarted agent asks its target by a property of its own

Cause: the walk steering.open_flow_keeps_its_target passes without the mechanism since lookups changed: its drawn steps no longer restart an owner and then use another balancer.

Change: a property with just these steps; the mutation names it. The walk stays.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -55,6 +55,7 @@
       | formation.restarted_controllers_exchange_agents_at_once |
       | steering.searches_are_paced |
       | steering.dead_flow_costs_a_balancer_few_datagrams |
+      | steering.restarted_agent_asks_its_target |
       | steering.searches_share_datagrams |
       | steering.owner_is_among_first_candidates |
       | steering.moved_entry_keeps_its_flows |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -106,6 +106,18 @@
     assert world.resets() == []
 
 
+@prop("steering.restarted_agent_asks_its_target")
+@given(st.integers(0, 1000))
+def check_restarted_agent(seed):
+    """A restarted agent gives its target a packet of a flow that the agent has no record of."""
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.start_agent(holder.agent)
+    world.send_data(1, "b2")
+    assert len(holder.received) == 2
+    assert world.resets() == []
+
+
 @prop("steering.wrong_tries_are_few")
 @given(st.integers(0, 1000))
 def check_tries(seed):
