Tell the recorder of a new flow by datagram before its first packet is delivered

Callers saw: a flow opened just before its agent was killed got another port at its target, or another target (product's own flow plane).

Cause: the owner's registration leaves by stream from another task. An owner that was killed in between left no record, so the flow was offered anew.

Change: the owner sends the recorder a datagram with the flow's entry and local port before it delivers the first packet; the registration by stream follows as before and makes up for a lost datagram. Answers to probes carry the local port as well: an owner recorded by such an answer got another port when it was restarted before its registration arrived. One datagram a new flow, whatever the number of agents.

--- a/features/properties/packets.py
+++ b/features/properties/packets.py
@@ -82,9 +82,9 @@
 
 @prop("packets.label_round_trip")
 @given(u64, u64, u8, u8, st.integers(0, 65535), payloads)
-def check_label(entry_id, version, hops, flags, decline, packet):
+def check_label(entry_id, version, hops, flags, detail, packet):
     """Our option comes back as it was sent."""
-    label = PacketLabel(entry_id=entry_id, version=version, hops=hops, flags=flags, decline=decline)
+    label = PacketLabel(entry_id=entry_id, version=version, hops=hops, flags=flags, detail=detail)
     assert decode_labelled(encode_label(label) + packet) == (label, packet)
 
 
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -85,15 +85,20 @@
         recorder = self.view.recorder(bucket_of(key))
         self.send(recorder, ForgetFlows(owner=self._name, keys=(key,)))
 
-    def on_probe_answered(
+    def on_ownership_announced(
         self, key: bytes, label: PacketLabel, source: tuple[str, int], now: float
     ) -> None:
-        """Record the owner that answered a probe, unless an owner is registered already."""
+        """Record the owner of a new or probed flow, unless one is registered already."""
         owner = self.view.by_address.get(source)
         self.completeness.end_probe(key)
         directory_entry = self.directory.find(key, now)
         if owner is not None and (directory_entry is None or not directory_entry.registered):
-            entry = DirectoryEntry(owner=owner, entry_id=label.entry_id, version=label.version)
+            entry = DirectoryEntry(
+                owner=owner,
+                entry_id=label.entry_id,
+                version=label.version,
+                local_port=label.detail,
+            )
             self.directory.put(key, entry)
 
     def on_probe(self, key: bytes, source: tuple[str, int], now: float) -> None:
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -195,10 +195,29 @@
         The answer goes to the probe's source address, because the home may have joined in a
         state version that this agent has not received yet.
         """
-        label = PacketLabel(entry_id=flow.entry_id, version=self._view.version, flags=FLAG_OWNED)
-        self._send(encode_label(label) + build_first_bytes(flow.key), source)
+        self._announce_ownership(flow, source)
         self._peering.register_with(self._view.by_address.get(source), [flow.record(now)])
 
+    def _announce_ownership(self, flow: Flow, agent: tuple[str, int]) -> None:
+        """Tell another agent by datagram that this agent owns a flow."""
+        label = PacketLabel(
+            entry_id=flow.entry_id,
+            version=self._view.version,
+            flags=FLAG_OWNED,
+            detail=flow.channel.local_port,
+        )
+        self._send(encode_label(label) + build_first_bytes(flow.key), agent)
+
+    def _announce_to_recorder(self, flow: Flow) -> None:
+        """Tell the recorder of a new flow that this agent owns it.
+
+        The registration follows by stream, from another task: it would be lost if this agent were
+        killed right after the flow's first packet was delivered.
+        """
+        recorder = self._view.recorder(bucket_of(flow.key))
+        if recorder is not None:
+            self._announce_ownership(flow, self._view.peers[recorder].data_address.pair())
+
     def _on_tcp_close(self, flow: Flow, packet: bytes) -> None:
         flow.fins |= 1
         if tcp_flags(packet) & TCP_RST:
@@ -215,7 +234,7 @@
         elif view.domain_out:
             self.counts.domain_out += 1
         elif label.flags & FLAG_OWNED:
-            self._peering.on_probe_answered(key, label, source, now)
+            self._peering.on_ownership_announced(key, label, source, now)
         elif label.flags & FLAG_DECLINED:
             self._on_declined(key, entry, label, packet, now)
         elif self._peering.to_recover:
@@ -379,7 +398,7 @@
             entry_id=entry.entry_id,
             version=self._view.version,
             flags=FLAG_DECLINED,
-            decline=int(decline),
+            detail=int(decline),
         )
         self._send(encode_label(label) + packet, source)
 
@@ -389,7 +408,7 @@
         directory_entry = self.directory.find(key, now)
         if directory_entry is None or directory_entry.registered:
             return
-        directory_entry.declines = (*directory_entry.declines, label.decline)
+        directory_entry.declines = (*directory_entry.declines, label.detail)
         self._offer_new_flow(key, entry, packet, directory_entry, now)
 
     def _accept_or_decline(self, key: bytes, entry: Entry, packet: bytes, now: float) -> Decline:
@@ -405,6 +424,7 @@
         self._new_flow_times.add(entry.entry_id, now)
         flow = self.flows.get(key)
         assert flow is not None
+        self._announce_to_recorder(flow)
         self._peering.register_with(self._view.recorder(bucket_of(key)), [flow.record(now)])
         try:
             flow.channel.send(packet)
--- a/lentilcourse/geneve.py
+++ b/lentilcourse/geneve.py
@@ -52,20 +52,21 @@
         version: state version that the sender acted on.
         hops: times that the packet was passed on between agents.
         flags: FLAG_* bits.
-        decline: reason code of a declined flow, see `agent.admission`.
+        detail: with FLAG_DECLINED the reason code, see `agent.admission`; with FLAG_OWNED the port
+            from which the owner sends to its target, 0 if none.
     """
 
     entry_id: int
     version: int
     hops: int = 0
     flags: int = 0
-    decline: int = 0
+    detail: int = 0
 
 
 def encode_label(label: PacketLabel) -> bytes:
     """Return the Geneve header with our option, to be put before a packet."""
     return OWN_START + _OWN_FIELDS.pack(
-        label.entry_id, label.version, label.hops, label.flags, label.decline
+        label.entry_id, label.version, label.hops, label.flags, label.detail
     )
 
 
@@ -83,8 +84,8 @@
     if not datagram.startswith(OWN_START) or len(datagram) < OWN_BYTES:
         _split(datagram)
         raise PacketError(error_texts.PACKET_OPTION.format(option=0))
-    entry_id, version, hops, flags, decline = _OWN_FIELDS.unpack_from(datagram, len(OWN_START))
-    label = PacketLabel(entry_id=entry_id, version=version, hops=hops, flags=flags, decline=decline)
+    entry_id, version, hops, flags, detail = _OWN_FIELDS.unpack_from(datagram, len(OWN_START))
+    label = PacketLabel(entry_id=entry_id, version=version, hops=hops, flags=flags, detail=detail)
     return label, datagram[OWN_BYTES:]
 
 
