Probe once for the owner of a flow, not with each of its packets

Result: flows.probes_do_not_grow_with_packets fails on the code before (ten packets, ten probes to each peer) and passes: one probe, ten packets delivered in order.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -11,6 +11,7 @@
       | flows.new_home_asks_recorders     |
       | flows.restarted_home_knows_it_is_behind |
       | flows.early_word_is_not_believed  |
+      | flows.probes_do_not_grow_with_packets |
       | flows.admission_is_safe           |
       | flows.cold_limit_grows            |
       | flows.rate_never_exceeded         |
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -522,6 +522,38 @@
     world.teardown()
 
 
+@prop("flows.probes_do_not_grow_with_packets")
+def check_probes():
+    """Packets of a flow whose owner is not known cause one probe and reach the owner in order.
+
+    Each packet was sent to all agents of the service before, as lookups of steering were in the
+    incident of 2026-12-04.
+    """
+    world = FlowWorld()
+    for _ in range(9):
+        world.open_flow(0)
+    world.change_membership("t4", "join")
+    world.apply_all("t4")
+    new_home = world.planes["t4"]
+    key = next(each for each in world.flows if route_home(world, each) == "t4")
+    channel = world.planes[world.owners[key]].flows.get(key).channel
+    delivered = len(channel.delivered)
+    for _ in range(10):
+        world.send(key, 0)
+    sent, world.datagrams = world.datagrams, []
+    for _, datagram, _ in sent:
+        new_home.on_datagram(datagram, ("127.1.1.1", 1), world.now)
+    assert new_home.counts.probes == len(NAMES) - 1
+    world.run_datagrams()
+    assert len(channel.delivered) == delivered + 10
+
+
+def route_home(world, key):
+    """Return the home of a flow in the newest state."""
+    (route,) = build_routes(world.newest).values()
+    return f"t{route.homes[bucket_of(key)][0].rpartition('.')[2]}"
+
+
 @prop("flows.answered_flow_survives_its_agent")
 def check_delivered_flow():
     """A flow whose first packet was delivered survives a kill of its agent right afterwards.
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -16,6 +16,8 @@
 from lentilcourse.buckets import BUCKETS
 
 PROBE_TIMEOUT_S: Final = 0.4
+PROBE_RETRY_S: Final = 0.05
+"""Interval between two probes for a flow: many round trips between agents."""
 STARTUP_PROBE_TIMEOUT_S: Final = 2.0
 RECOVERY_TIMEOUT_S: Final = 10.0
 LOST_PEER_GRACE_S: Final = 2.5
@@ -36,6 +38,7 @@
         self._planned_stops: set[str] = set()
         self._joined_at = float("-inf")
         self._probes: dict[bytes, float] = {}
+        self._probed_at: dict[bytes, float] = {}
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
         """Update which buckets were assigned to this home, and which peers are lost.
@@ -138,11 +141,19 @@
         )
         return now - started >= timeout_s
 
+    def probe_due(self, key: bytes, now: float) -> bool:
+        """Return whether a probe for a flow is due; if so, it counts as sent."""
+        if now - self._probed_at.get(key, float("-inf")) < PROBE_RETRY_S:
+            return False
+        self._probed_at[key] = now
+        return True
+
     def end_probe(self, key: bytes) -> None:
         """Remove the probe for a flow, if there is one."""
         self._probes.pop(key, None)
+        self._probed_at.pop(key, None)
 
     def expire(self, now: float) -> None:
         """Remove probes that started more than `PROBE_RETENTION_S` ago."""
         for key in [key for key, start in self._probes.items() if now - start > PROBE_RETENTION_S]:
-            del self._probes[key]
+            self.end_probe(key)
--- a/lentilcourse/agent/flow_counts.py
+++ b/lentilcourse/agent/flow_counts.py
@@ -14,6 +14,7 @@
     answered: int = 0
     forwarded: int = 0
     probes: int = 0
+    unbuffered: int = 0
     malformed: int = 0
     wrong_service: int = 0
     domain_out: int = 0
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -60,6 +60,7 @@
         monitor: TargetMonitor,
         balance: FlowBalance,
         take_ownership: Callable[[FlowRecord, float], bool],
+        on_owner_recorded: Callable[[bytes, float], None],
     ) -> None:
         self.directory = Directory()
         self.completeness = Completeness(connected=self._is_connected)
@@ -72,6 +73,7 @@
         self._monitor = monitor
         self._balance = balance
         self._take_ownership = take_ownership
+        self._on_owner_recorded = on_owner_recorded
         self._recovery_complete = False
 
     def on_view(self, old: FlowView, new: FlowView, now: float) -> None:
@@ -100,6 +102,7 @@
                 local_port=label.detail,
             )
             self.directory.put(key, entry)
+            self._on_owner_recorded(key, now)
 
     def on_probe(self, key: bytes, source: tuple[str, int], now: float) -> None:
         """Answer a home's probe with the registered owner of the flow, if there is a record here.
@@ -206,7 +209,7 @@
             if self._flows.get(record.key) is not None:
                 self.counts.owner_conflicts += 1
                 continue
-            self._record_owner(record, peer, msg.version)
+            self._record_owner(record, peer, msg.version, now)
 
     @on_message.register
     def _on_forget(self, msg: ForgetFlows, peer: str, now: float) -> None:
@@ -232,9 +235,9 @@
             if owned or (directory_entry is not None and directory_entry.registered):
                 continue
             self.completeness.end_probe(record.key)
-            self._record_owner(record, msg.owner, msg.version)
+            self._record_owner(record, msg.owner, msg.version, now)
 
-    def _record_owner(self, record: FlowRecord, owner: str, version: int) -> None:
+    def _record_owner(self, record: FlowRecord, owner: str, version: int, now: float) -> None:
         """Record the owner of a flow, as registered at a state version."""
         entry = DirectoryEntry(
             owner=owner,
@@ -243,6 +246,7 @@
             version=version,
         )
         self.directory.put(record.key, entry)
+        self._on_owner_recorded(record.key, now)
 
     @on_message.register
     def _on_load(self, msg: FlowLoad, peer: str, now: float) -> None:
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -35,6 +35,7 @@
 )
 from lentilcourse.agent.flow_view import FlowView, build_view, empty_view
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
+from lentilcourse.agent.probe_buffer import ProbeBuffer
 from lentilcourse.agent.rate_window import RateWindow
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
@@ -112,6 +113,7 @@
         self._lock = threading.RLock()
         self._view = empty_view(name, 0)
         self._new_flow_times = RateWindow()
+        self._buffer = ProbeBuffer()
         self._balance = FlowBalance(
             name=name, own_flows=self.flows.__len__, own_limit=self._flow_limit, rng=rng
         )
@@ -122,6 +124,7 @@
             monitor=monitor,
             balance=self._balance,
             take_ownership=self._take_ownership,
+            on_owner_recorded=self._send_buffered,
         )
         self.directory = self._peering.directory
         self._completeness = self._peering.completeness
@@ -281,7 +284,7 @@
             return
         unconfirmed_peers = self._completeness.unconfirmed_peers(view, bucket, now)
         if unconfirmed_peers and not self._completeness.probe_timed_out(key, now):
-            self._probe(entry, label, packet)
+            self._probe_or_buffer(key, entry, label, packet, now)
             return
         self._completeness.end_probe(key)
         if not opens_flow(packet):
@@ -337,6 +340,21 @@
         )
         self._send(header + packet, peer.data_address.pair())
 
+    def _probe_or_buffer(
+        self, key: bytes, entry: Entry, label: PacketLabel, packet: bytes, now: float
+    ) -> None:
+        if self._completeness.probe_due(key, now):
+            self._probe(entry, label, packet)
+        elif not self._buffer.add(key, label, packet, now):
+            self.counts.unbuffered += 1
+
+    def _send_buffered(self, key: bytes, now: float) -> None:
+        """Send the packets that were buffered during a probe on to the owner that was found."""
+        for buffered in self._buffer.take(key, now):
+            entry = self._view.entries.get(buffered.label.entry_id)
+            if entry is not None:
+                self._find_owner(key, entry, buffered.label, buffered.packet, now)
+
     def _probe(self, entry: Entry, label: PacketLabel, packet: bytes) -> None:
         """Send the packet to all peers as a probe for the flow's owner.
 
@@ -526,6 +544,7 @@
             self._peering.recover(now)
             self.directory.expire(now)
             self._completeness.expire(now)
+            self._buffer.expire(now)
             if self.peers is not None:
                 self.peers.broadcast(self._balance.own_load(now))
 
