Answer probes of a home that is not known yet by datagram

Cause: agents that had recorded the flow answer a probe by their stream to the home. Where the home had joined in a state version that they lacked for 2 s, they had no stream to it and stayed silent; the home then took the flow as new.

Change: to a home that is not known the answer goes by datagram to the probe's source and names the owner by its address, with entry, version and local port.

--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Final
@@ -24,7 +25,7 @@
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
-from lentilcourse.geneve import PacketLabel
+from lentilcourse.geneve import FLAG_RECORDED, PacketLabel, encode_label
 from lentilcourse.messages.flows import (
     FlowLoad,
     FlowRecord,
@@ -35,8 +36,11 @@
     RegisterFlows,
     RegistrationComplete,
 )
+from lentilcourse.packets import build_first_bytes, parse_host
 
 MAX_RECORDS_PER_MESSAGE: Final = 2000
+OWNER_PORT_BYTES: Final = 2
+OWNER_ADDRESS_BYTES: Final = 6
 
 
 class FlowPeering:
@@ -88,10 +92,10 @@
         self.send(recorder, ForgetFlows(owner=self._name, keys=(key,)))
 
     def on_ownership_announced(
-        self, key: bytes, label: PacketLabel, source: tuple[str, int], now: float
+        self, key: bytes, label: PacketLabel, address: tuple[str, int], now: float
     ) -> None:
-        """Record the owner of a new or probed flow, unless one is registered already."""
-        owner = self.view.by_address.get(source)
+        """Record the agent at an address as owner of a flow, unless one is registered already."""
+        owner = self.view.by_address.get(address)
         self.completeness.end_probe(key)
         directory_entry = self.directory.find(key, now)
         if owner is not None and (directory_entry is None or not directory_entry.registered):
@@ -104,17 +108,20 @@
             self.directory.put(key, entry)
             self._on_owner_recorded(key, now)
 
-    def on_probe(self, key: bytes, source: tuple[str, int], now: float) -> None:
+    def on_probe(self, key: bytes, source: tuple[str, int], now: float) -> bytes | None:
         """Answer a home's probe with the registered owner of the flow, if there is a record here.
 
         The owner may be down, or the home itself may be the owner and have lost its flow table
-        in a restart.
+        in a restart. There is no stream to a home that joined in a state version that this agent
+        has not received yet; the answer to that one is returned as a datagram.
         """
-        home = self.view.by_address.get(source)
         directory_entry = self.directory.find(key, now)
+        if directory_entry is None or not directory_entry.registered:
+            return None
+        home = self.view.by_address.get(source)
         target = self.view.peers.get(home) if home is not None else None
-        if directory_entry is None or target is None or not directory_entry.registered:
-            return
+        if target is None:
+            return self._record_datagram(key, directory_entry)
         flows = (directory_entry.record(key),)
         if directory_entry.owner == home:
             self.send(home, RecoveredFlows(incarnation=target.incarnation, flows=flows))
@@ -123,6 +130,22 @@
                 owner=directory_entry.owner, version=directory_entry.version, flows=flows
             )
             self.send(home, msg)
+        return None
+
+    def _record_datagram(self, key: bytes, directory_entry: DirectoryEntry) -> bytes | None:
+        """Return the datagram that names the owner of a flow, or None if its address is unknown."""
+        owner = self.view.peers.get(directory_entry.owner)
+        if owner is None:
+            return None
+        label = PacketLabel(
+            entry_id=directory_entry.entry_id,
+            version=directory_entry.version,
+            flags=FLAG_RECORDED,
+            detail=directory_entry.local_port,
+        )
+        host, port = owner.data_address.pair()
+        payload = parse_host(host) + port.to_bytes(OWNER_PORT_BYTES, "big")
+        return encode_label(label) + build_first_bytes(key, payload)
 
     def _remove_restarted_owners(self, old: FlowView, new: FlowView) -> None:
         for name, peer in new.peers.items():
@@ -292,6 +315,14 @@
             self.peers.send(name, msg)
 
 
+def unpack_owner(packet: bytes) -> tuple[str, int]:
+    """Return the owner's address from the packet in a FLAG_RECORDED datagram."""
+    address = packet[-OWNER_ADDRESS_BYTES:]
+    return socket.inet_ntoa(address[:-OWNER_PORT_BYTES]), int.from_bytes(
+        address[-OWNER_PORT_BYTES:], "big"
+    )
+
+
 def _split_into_messages(records: list[FlowRecord]) -> list[tuple[FlowRecord, ...]]:
     """Split records into groups that fit in one message."""
     return [
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -25,7 +25,7 @@
 from lentilcourse.agent.delivery import OpenChannel
 from lentilcourse.agent.flow_balance import FlowBalance
 from lentilcourse.agent.flow_counts import FlowCounts
-from lentilcourse.agent.flow_peering import FlowPeering
+from lentilcourse.agent.flow_peering import FlowPeering, unpack_owner
 from lentilcourse.agent.flow_refusals import refusal_datagrams, refusal_of_declines
 from lentilcourse.agent.flow_table import (
     OFFER_TIMEOUT_S,
@@ -46,6 +46,7 @@
     FLAG_OWNED,
     FLAG_OWNER,
     FLAG_PROBE,
+    FLAG_RECORDED,
     MAX_HOPS,
     PLAIN_HEADER,
     PacketLabel,
@@ -238,13 +239,18 @@
             self.counts.domain_out += 1
         elif label.flags & FLAG_OWNED:
             self._peering.on_ownership_announced(key, label, source, now)
+        elif label.flags & FLAG_RECORDED:
+            owner = unpack_owner(packet)
+            self._peering.on_ownership_announced(key, label, owner, now)
         elif label.flags & FLAG_DECLINED:
             self._on_declined(key, entry, label, packet, now)
         elif self._peering.to_recover:
             self.counts.recovering += 1
         elif label.flags & FLAG_PROBE:
             self.counts.unknown_flow += 1
-            self._peering.on_probe(key, source, now)
+            recorded = self._peering.on_probe(key, source, now)
+            if recorded is not None:
+                self._send(recorded, source)
         elif label.flags & FLAG_OFFER:
             self._on_offer(key, entry, label, packet, source, now)
         elif label.flags & FLAG_OWNER:
--- a/lentilcourse/geneve.py
+++ b/lentilcourse/geneve.py
@@ -31,6 +31,7 @@
 FLAG_DECLINED: Final = 0x04
 FLAG_OWNER: Final = 0x08
 FLAG_OWNED: Final = 0x10
+FLAG_RECORDED: Final = 0x20
 
 _HEADER: Final = struct.Struct(">BBHI")
 _OPTION: Final = struct.Struct(">HBBQQBBH")
@@ -52,8 +53,8 @@
         version: state version that the sender acted on.
         hops: times that the packet was passed on between agents.
         flags: FLAG_* bits.
-        detail: with FLAG_DECLINED the reason code, see `agent.admission`; with FLAG_OWNED the port
-            from which the owner sends to its target, 0 if none.
+        detail: with FLAG_DECLINED the reason code, see `agent.admission`; with FLAG_OWNED and
+            FLAG_RECORDED the port from which the owner sends to its target, 0 if none.
     """
 
     entry_id: int
--- a/lentilcourse/packets.py
+++ b/lentilcourse/packets.py
@@ -116,12 +116,12 @@
     return build_ip(source, destination, PROTOCOL_UDP, segment)
 
 
-def build_first_bytes(key: bytes) -> bytes:
-    """Return an empty packet of a flow, to be quoted in a refusal."""
+def build_first_bytes(key: bytes, payload: bytes = b"") -> bytes:
+    """Return a packet of a flow that names it, in a refusal or between agents."""
     if key[12] == PROTOCOL_UDP:
-        return build_udp(key[0:4], key[4:8], key[8:12], b"")
+        return build_udp(key[0:4], key[4:8], key[8:12], payload)
     segment = key[8:12] + bytes(8) + bytes((TCP_HEADER_BYTES // 4 << 4, TCP_ACK)) + bytes(6)
-    return build_ip(key[0:4], key[4:8], PROTOCOL_TCP, segment)
+    return build_ip(key[0:4], key[4:8], PROTOCOL_TCP, segment + payload)
 
 
 def build_answer(key: bytes, payload: bytes) -> bytes:
