End a search once all agents are known, and answer the searcher alone

Change: each round checks the flows that all known agents have denied; agents that have ended as planned count as known; an agent that was asked by a searcher answers that one only.

Result: two properties fail without (steering.search_ends_once_all_agents_are_known, unsure_agents_answer_the_searcher) and pass with it; the others of steering pass.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -56,6 +56,8 @@
       | steering.searches_are_paced |
       | steering.dead_flow_costs_a_balancer_few_datagrams |
       | steering.restarted_agent_asks_its_target |
+      | steering.search_ends_once_all_agents_are_known |
+      | steering.unsure_agents_answer_the_searcher |
       | steering.searches_share_datagrams |
       | steering.owner_is_among_first_candidates |
       | steering.moved_entry_keeps_its_flows |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -471,6 +471,49 @@
     assert counts.notices - notices <= LOOKUP_CANDIDATES
 
 
+@prop("steering.search_ends_once_all_agents_are_known")
+@given(st.integers(0, 1000), st.booleans())
+def check_late_completeness(seed, planned):
+    """A flow that all others have denied is reset as soon as the last agent is known to have gone.
+
+    It had ended as planned, or its registration ends: no further reply or packet is needed.
+    """
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.down.add(holder.agent)
+    world.advance_time(RECORD_LIFE_S + 2)
+    for directory in world.directories.values():
+        directory.expire(world.now)
+    world.send_data(1, "b2")
+    assert world.resets() == []
+    if planned:
+        gone = attrs.evolve(world.records[holder.agent], state=STATE_GONE)
+        for directory in world.directories.values():
+            directory.offer((AgentNotice(record=gone),), world.now)
+    else:
+        world.register(*(name for name in world.records if name != holder.agent))
+    world.now += ROUND_INTERVAL_S
+    for agent in world.agents.values():
+        agent.search_owners(world.now)
+    assert len(world.resets()) == 1
+
+
+@prop("steering.unsure_agents_answer_the_searcher")
+@given(st.integers(0, 1000))
+def check_unsure(seed):
+    """Denials of restarted agents reach the agent that searches, not the balancer's slow link."""
+    world = SteeringWorld(agents=40, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    world.restart_target(holder.agent)
+    for name in list(world.agents):
+        world.start_agent(name)
+    world.resets()
+    notices = world.balancers["b2"].counts.notices
+    world.send_data(1, "b2")
+    assert len(world.resets()) == 1
+    assert world.balancers["b2"].counts.notices - notices <= LOOKUP_CANDIDATES
+
+
 @prop("steering.searches_share_datagrams")
 @given(st.integers(0, 1000), st.integers(2, 60))
 def check_search_rounds(seed, flows):
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -413,18 +413,22 @@
             self._searches.start(sought, record.balancer, now)
 
     def _deny(self, flow: bytes, balancer: tuple[str, int], now: float) -> None:
-        """Remember that the target does not hold a flow, and notify all that have asked."""
+        """Remember that the target does not hold a flow, and notify the process that asked.
+
+        While an agent searches for the flow, that one is told; the balancer waits for its result.
+        """
         self._denied[flow] = now
-        if flow in self._searchers:
-            searcher, _ = self._searchers.pop(flow)
-            self._reply(searcher, {flow: Possession.DENIES})
         _log.info(
             "flow_denied",
             flow=flow_text(flow),
             target_run=self._watch.run,
             balancer=balancer[0],
         )
-        self._send_denial(flow, balancer)
+        if flow in self._searchers:
+            searcher, _ = self._searchers.pop(flow)
+            self._reply(searcher, {flow: Possession.DENIES})
+        else:
+            self._send_denial(flow, balancer)
 
     def _send_denial(self, flow: bytes, balancer: tuple[str, int]) -> None:
         """Notify a balancer that the target does not hold a flow."""
--- a/lentilcourse/steering/owner_searches.py
+++ b/lentilcourse/steering/owner_searches.py
@@ -94,8 +94,14 @@
             self.run_round(now)
 
     def run_round(self, now: float) -> None:
-        """Ask each agent about the oldest flows that it has neither claimed nor denied."""
+        """Ask each agent about the oldest flows that it has neither claimed nor denied.
+
+        Flows that all known agents have denied are checked again: the list of agents may have
+        become complete since their last reply.
+        """
         self._expire(now)
+        for search in list(self._pending.values()):
+            self._end_if_dead(search)
         if not self._pending:
             return
         self._last_round_at = now
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -76,9 +76,12 @@
         self._table = PeerTable()
 
     def complete(self) -> bool:
-        """Return whether the table contains every agent whose target may hold flows."""
+        """Return whether the table contains every agent whose target may hold flows.
+
+        Agents that have ended as planned hold none, though their registration ends a moment later.
+        """
         registered = self._copy.current.agents.keys()
-        return bool(registered) and registered <= self.table().names
+        return bool(registered) and registered <= self.table().names | self._directory.gone()
 
     def table(self) -> PeerTable:
         """Return the table for the current directory and state."""
