Deliver what is in flight before a walk counts deliveries

Each packet is still delivered once; the count began before all were.

Change: the walk delivers all datagrams in flight before it counts. The check stays as it is.

--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -301,6 +301,7 @@
         self.settle()
         self.now += 2.0
         self.settle()
+        self.run_datagrams()
         for key, owner in self.owners.items():
             channel = self.planes[owner].flows.get(key).channel
             before = len(channel.delivered)
