--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -39,7 +39,8 @@
 class FakeChannel:
     """Channel that records the packets delivered to the target."""
 
-    counter = 10
+    FIRST = 10
+    counter = FIRST
 
     def __init__(self, local_port):
         FakeChannel.counter += 1
@@ -95,6 +96,7 @@
 
     def __init__(self):
         super().__init__()
+        FakeChannel.counter = FakeChannel.FIRST
         self.now = 1000.0
         self.streams = {}
         self.unopened = []
