Pace what a balancer sends to the rate of its link

Callers send windows of 16 packets; the queue of a link of 1.65 Mbit/s holds about 50 ms, half a window, and drops the rest, also packets of others. Ruled out: agents and targets (processors idle, unanswered offers only at narrow balancers) and lookups (none before second 10).

Flows take turns, so that a single packet does not wait for another caller's burst; a packet that was retransmitted while it waited is sent once; with over a second queued the longest flow loses its newest packet. On a link that is not full a datagram leaves at once, as before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -66,6 +66,10 @@
       | steering.added_balancers_do_not_stop_service |
       | steering.restarted_balancers_do_not_stop_service |
       | steering.service_returns_after_power_loss |
+      | steering.bursts_cost_no_packets |
+      | steering.paced_flows_take_turns |
+      | steering.paced_rate_is_kept |
+      | steering.retransmissions_are_paced_once |
       | formation.late_commit_ends_no_task |
       | formation.many_agents_are_registered_in_parts |
       | formation.defect_in_one_datagram_stops_no_loop |
--- a/features/properties/steering_load.py
+++ b/features/properties/steering_load.py
@@ -11,9 +11,12 @@
 from collections import Counter
 
 import attrs
+from hypothesis import given
+from hypothesis import strategies as st
 from xxhash import xxh3_64_intdigest
 
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_RST, FLAG_SYN
+from lentilcourse.steering.pacer import BITS_PER_BYTE, BITS_PER_MBIT, BURST_S, Pacer
 from properties import prop
 from properties.steering_world import SteeringWorld, caller, packet
 
@@ -36,6 +39,12 @@
 MAX_MISSED_CHECKS = 2
 RESTART_S = 2.0
 WINDOW_S = 2.0
+SHORT_QUEUE_S = 0.05
+UPLOAD_PORT = 50_000
+UPLOAD_PERIOD_S = 0.05
+UPLOAD_PACKETS = 16
+MAX_DATA_BYTES = 1200
+MAX_DATAGRAM_BYTES = 1300
 MIN_SERVED = 0.9
 """Share of requests that must be answered before their deadline in each window."""
 
@@ -55,7 +64,10 @@
     checks in turn are lost on its link leaves the rotation until one arrives.
     """
 
-    def __init__(self, seed=1):
+    def __init__(self, seed=1, callers=CALLERS, max_queue_s=MAX_QUEUE_S, paced=False):
+        self.max_queue_s = max_queue_s
+        self.paced = paced
+        self.pacers = {}
         self._events = []
         self._order = itertools.count()
         self._link_free_at = {}
@@ -69,9 +81,9 @@
         self.stopped = set()
         self.missed_checks = Counter()
         self.began = self.now
-        self.callers = [Caller(world=self, number=number) for number in range(CALLERS)]
+        self.callers = [Caller(world=self, number=number) for number in range(callers)]
         for each in self.callers:
-            self.after(REQUEST_PERIOD_S * each.number / CALLERS, each.request)
+            self.after(REQUEST_PERIOD_S * each.number / callers, each.request)
         self._tick(0)
         self._check_health()
 
@@ -121,13 +133,33 @@
         """Return the share of ended requests that were served, by window of their start."""
         return [self.served[number] / self.ended[number] for number in sorted(self.ended)]
 
-    def _send_from_balancer(self, name, datagram, to):
+    def start_balancer(self, name):
+        """Start a balancer without hints, with a pacer before its link if the world is paced."""
+        super().start_balancer(name)
+        self.pacers[name] = Pacer(
+            link_mbps=LINK_BYTES_PER_S * BITS_PER_BYTE / BITS_PER_MBIT,
+            send=lambda datagram, to: self._send_datagram(name, datagram, to),
+        )
+
+    def _send_from_balancer(self, name, flow, datagram, to):
+        if not self.paced:
+            self._send_datagram(name, datagram, to)
+            return
+        self.pacers[name].submit(flow, datagram, to, self.now)
+        self._release(name)
+
+    def _release(self, name):
+        wait_s = self.pacers[name].release(self.now)
+        if wait_s is not None:
+            self.after(max(wait_s, BURST_S), lambda: self._release(name))
+
+    def _send_datagram(self, name, datagram, to):
         self._send_on_link(name, len(datagram), lambda: self._deliver(datagram, to))
 
     def _send_on_link(self, name, size, deliver):
         """Send through the link of a balancer; returns False if its queue is full."""
         free_at = max(self._link_free_at.get(name, self.now), self.now)
-        if free_at - self.now > MAX_QUEUE_S:
+        if free_at - self.now > self.max_queue_s:
             self.lost[name] += 1
             return False
         sent_at = free_at + (size + UDP_OVERHEAD_BYTES) / LINK_BYTES_PER_S
@@ -143,7 +175,8 @@
 
     def _receive(self, raw):
         number = int.from_bytes(raw[30:32], "big")
-        self.callers[number].receive(raw)
+        if number < len(self.callers):
+            self.callers[number].receive(raw)
 
     def _tick(self, count):
         for agent in self.agents.values():
@@ -269,3 +302,88 @@
 def check_power_loss():
     """Lookups for dead flows do not hold up new ones after a power loss (2026-12-04, RECOVER)."""
     check_served(LoadedWorld.lose_power)
+
+
+def upload_bursts(world, uploads):
+    """Let callers send a whole window of large packets at once, each on a flow of its own."""
+    for number in range(uploads):
+        who = caller(number)[:4] + UPLOAD_PORT.to_bytes(2, "big")
+        at_s = UPLOAD_PERIOD_S * number
+        world.after(at_s, lambda who=who: world.route(packet(who, FLAG_SYN)))
+        for index in range(UPLOAD_PACKETS):
+            data = bytes((index,)) * MAX_DATA_BYTES
+            raw = packet(who, FLAG_ACK, data, ack=5)
+            world.after(at_s + 0.1, lambda raw=raw: world.route(raw))
+
+
+@prop("steering.bursts_cost_no_packets")
+def check_bursts():
+    """Bursts of uploads through a slow link lose no packet, nor do requests beside them (SHORT).
+
+    The link's queue holds half a burst. Without pacing it dropped the rest of the burst and a
+    third of the other callers' packets (samahan-pansit-grown, 2026-12-04).
+    """
+    world = LoadedWorld(callers=80, max_queue_s=SHORT_QUEUE_S, paced=True)
+    upload_bursts(world, 160)
+    world.run(10.0)
+    delivered = sum(agent.counts.delivered for agent in world.agents.values())
+    assert not world.lost, dict(world.lost)
+    assert all(pacer.counts.dropped == 0 for pacer in world.pacers.values())
+    assert delivered >= 160 * (1 + UPLOAD_PACKETS)
+    assert min(world.shares()) == 1.0
+
+
+@prop("steering.paced_flows_take_turns")
+@given(st.integers(1, 30), st.integers(1, 16))
+def check_turns(bursts, size):
+    """A single packet waits for one packet of each queued flow at most, not for their bursts."""
+    sent = []
+    pacer = Pacer(link_mbps=0.1, send=lambda datagram, to: sent.append(datagram))
+    address = ("10.0.0.1", 1)
+    for flow in range(bursts):
+        for index in range(size):
+            pacer.submit(bytes((flow,)), bytes((flow, index)) * 500, address, 1.0)
+    pacer.submit(b"single", b"single", address, 1.0)
+    now = 1.0
+    while b"single" not in sent:
+        now += 0.01
+        pacer.release(now)
+    assert sent.index(b"single") <= 1 + bursts
+
+
+@prop("steering.paced_rate_is_kept")
+@given(st.lists(st.tuples(st.floats(0.0, 0.3), st.integers(1, 1300)), max_size=60))
+def check_rate(packets):
+    """In no span does a pacer send more than the link's rate and one burst allow.
+
+    Nothing is sent twice, and everything that is not dropped is sent.
+    """
+    sent = []
+    pacer = Pacer(link_mbps=0.2, send=lambda datagram, to: sent.append((now, len(datagram))))
+    now = 1.0
+    for number, (pause, size) in enumerate(packets):
+        now += pause
+        pacer.release(now)
+        pacer.submit(bytes((number % 5,)), bytes((number,)) * size, ("10.0.0.1", 1), now)
+    while pacer.release(now) is not None:
+        now += 0.01
+    assert len(sent) + pacer.counts.dropped + pacer.counts.duplicates == len(packets)
+    rate = 0.2 * BITS_PER_MBIT / BITS_PER_BYTE
+    for first, (began, _) in enumerate(sent):
+        for last in range(first, len(sent)):
+            size = sum(each for _, each in sent[first:last])
+            assert size <= rate * (sent[last][0] - began + BURST_S) + MAX_DATAGRAM_BYTES
+
+
+@prop("steering.retransmissions_are_paced_once")
+def check_duplicates():
+    """A packet that its caller retransmits while it waits in the queue is sent once."""
+    sent = []
+    pacer = Pacer(link_mbps=0.1, send=lambda datagram, to: sent.append(datagram))
+    for _ in range(3):
+        for index in range(8):
+            pacer.submit(b"flow", bytes((index,)) * 1200, ("10.0.0.1", 1), 1.0)
+    for tick in range(200):
+        pacer.release(1.0 + tick * 0.01)
+    assert [each[0] for each in sent] == [0, *range(1, 8), 0]
+    assert pacer.counts.duplicates == 15
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -188,7 +188,7 @@
             state=lambda: self.state,
             own_address=(f"10.1.0.{name[1:]}", 1),
             domain="d0",
-            to_peer=lambda datagram, to: self._send_from_balancer(name, datagram, to),
+            to_peer=lambda flow, datagram, to: self._send_from_balancer(name, flow, datagram, to),
             to_caller=lambda raw, to: self.to_callers.append(raw),
             caller_port=CALLER_PORT,
             rng=self.rng,
@@ -295,7 +295,7 @@
         if name in self.agents and name not in self.down:
             self.agents[name].on_peer(datagram, self.now)
 
-    def _send_from_balancer(self, name, datagram, to):
+    def _send_from_balancer(self, name, flow, datagram, to):
         self._send_to_peer(datagram, to)
 
     def _send_to_peer(self, datagram, to):
--- a/lentilcourse/options.py
+++ b/lentilcourse/options.py
@@ -143,12 +143,14 @@
         packet_address: UDP listener for packets of callers.
         peer_address: UDP listener for datagrams of agents.
         placement: placement policy plug-in for new flows.
+        link_mbps: rate of the VM's link in Mbit/s.
     """
 
     packet_format: str
     packet_address: Address
     peer_address: Address
     placement: str
+    link_mbps: float
 
 
 @attrs.frozen(kw_only=True)
--- a/lentilcourse/settings_file.py
+++ b/lentilcourse/settings_file.py
@@ -92,7 +92,7 @@
     return parse
 
 
-def _seconds(low: float, high: float) -> Callable[[str], float]:
+def _decimal(low: float, high: float) -> Callable[[str], float]:
     def parse(text: str) -> float:
         try:
             value = float(text)
@@ -191,6 +191,7 @@
             packet_address=self._value(section, "packet_address", parse_address),
             peer_address=self._value(section, "peer_address", parse_address),
             placement=self._value(section, "placement", parse_name, default="two-choices"),
+            link_mbps=self._value(section, "link_mbps", _decimal(0.01, 1e6), default="10000"),
         )
 
     def _steering_agent(self) -> SteeringAgentSettings:
@@ -204,11 +205,11 @@
             announce_address=self._value(section, "announce_address", parse_address),
             caller_port=self._value(section, "caller_address", parse_address).port,
             announcement_life_s=self._value(
-                section, "announcement_life_s", _seconds(0.1, 600.0), default="2"
+                section, "announcement_life_s", _decimal(0.1, 600.0), default="2"
             ),
-            cold_overrun=self._value(section, "cold_overrun", _seconds(1.0, 10.0), default="1"),
+            cold_overrun=self._value(section, "cold_overrun", _decimal(1.0, 10.0), default="1"),
             cold_slack=self._value(section, "cold_slack", _integer(0, 1000), default="1"),
-            flow_life_s=self._value(section, "flow_life_s", _seconds(1.0, 604_800.0)),
+            flow_life_s=self._value(section, "flow_life_s", _decimal(1.0, 604_800.0)),
         )
 
     def _cluster_key(self, role: str) -> bytes:
@@ -272,7 +273,7 @@
             fabric_address=self._value(section, "fabric_address", parse_address),
             delivery=self._value(section, "delivery", parse_name, default="udp"),
             flow_idle_s=self._value(
-                section, "flow_idle_s", _seconds(0.1, 604_800.0), default="14400"
+                section, "flow_idle_s", _decimal(0.1, 604_800.0), default="14400"
             ),
         )
 
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -19,6 +19,7 @@
 from lentilcourse.steering.datagrams import (
     DenialNotice,
     Envelope,
+    FlowSend,
     Kind,
     OwnerNotice,
     Send,
@@ -80,7 +81,7 @@
         state: Callable[[], State],
         own_address: tuple[str, int],
         domain: str,
-        to_peer: Send,
+        to_peer: FlowSend,
         to_caller: Send,
         caller_port: int,
         rng: random.Random,
@@ -128,7 +129,7 @@
             elif hint is not None:
                 hint.last_packet_at = now
                 self.counts.carried += 1
-                self._to_peer(self._carry_header + packet.raw, hint.owner)
+                self._to_peer(packet.flow, self._carry_header + packet.raw, hint.owner)
             else:
                 self._lookups.on_packet(packet, now)
 
@@ -210,7 +211,7 @@
             catalogue=self._state().catalogue.number,
             service=route.service_for(packet.flow),
         )
-        self._to_peer(encode_envelope(envelope, packet.raw), owner)
+        self._to_peer(packet.flow, encode_envelope(envelope, packet.raw), owner)
 
     def _record_owner(self, notice: OwnerNotice, now: float) -> None:
         self._lookups.finish(notice.flow, notice.owner, now)
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -11,6 +11,7 @@
 from lentilcourse.steering.balancer_flows import BalancerFlows
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import create_system_view
+from lentilcourse.steering.pacer import Pacer
 from lentilcourse.steering.packet_format import PACKET_FORMATS
 from lentilcourse.steering.placement_policies import PLACEMENT_POLICIES
 from lentilcourse.steering.traffic_log import TrafficLog
@@ -31,6 +32,7 @@
     caller_loop = DatagramLoop(address=cfg.packet_address, lifecycle=lifecycle)
     agent_loop = DatagramLoop(address=cfg.peer_address, lifecycle=lifecycle)
     view = create_system_view(context, lambda: flows.known_flows)
+    pacer = Pacer(link_mbps=cfg.link_mbps, send=agent_loop.send)
     flows = BalancerFlows(
         packet_format=PACKET_FORMATS.get(cfg.packet_format),
         placement=PLACEMENT_POLICIES.get(cfg.placement),
@@ -38,7 +40,7 @@
         state=lambda: view.copy.current,
         own_address=cfg.peer_address.pair(),
         domain=settings.process.domain,
-        to_peer=agent_loop.send,
+        to_peer=lambda flow, datagram, to: pacer.submit(flow, datagram, to, time.monotonic()),
         to_caller=caller_loop.send,
         caller_port=cfg.packet_address.port,
         rng=random.Random(),
@@ -49,7 +51,12 @@
         return has_catalogue and bool(view.peers.table().names)
 
     traffic_log = TrafficLog(
-        sources={"": flows.counts, "caller_": caller_loop.counts, "agent_": agent_loop.counts}
+        sources={
+            "": flows.counts,
+            "caller_": caller_loop.counts,
+            "agent_": agent_loop.counts,
+            "paced_": pacer.counts,
+        }
     )
 
     def sweep() -> None:
@@ -65,12 +72,14 @@
     metrics.counters_of("lentilcourse.steering", flows.counts)
     metrics.counters_of("lentilcourse.datagrams.caller", caller_loop.counts)
     metrics.counters_of("lentilcourse.datagrams.agent", agent_loop.counts)
+    metrics.counters_of("lentilcourse.pacing", pacer.counts)
     metrics.gauge("lentilcourse.steering.known_flows", lambda: flows.known_flows)
     metrics.histogram("lentilcourse.steering.lookup", flows.lookups)
     metrics.counter("lentilcourse.packets.malformed", lambda: caller_loop.malformed)
     metrics.counter("lentilcourse.packets.unsent", lambda: caller_loop.unsent + agent_loop.unsent)
-    tasks = lifecycle.pool(name="steering", limit=3)
+    tasks = lifecycle.pool(name="steering", limit=4)
     tasks.submit(lambda: caller_loop.run(flows.on_caller))
     tasks.submit(lambda: agent_loop.run(flows.on_notice))
     tasks.submit(sweep)
+    tasks.submit(lambda: pacer.run(lifecycle, time.monotonic))
     view.subscription.start()
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -23,6 +23,8 @@
 
 Send = Callable[[bytes, tuple[str, int]], None]
 """Function that sends a datagram to a host and port."""
+FlowSend = Callable[[bytes, bytes, tuple[str, int]], None]
+"""Function that sends a datagram of a flow, given by its key, to a host and port."""
 
 HEADER: Final = struct.Struct(">BB4sHQ8s")
 OWNER: Final = struct.Struct(">H12s4sH")
--- a/lentilcourse/steering/owner_lookups.py
+++ b/lentilcourse/steering/owner_lookups.py
@@ -19,8 +19,8 @@
 from lentilcourse.steering.datagrams import (
     DenialNotice,
     Envelope,
+    FlowSend,
     Kind,
-    Send,
     encode_envelope,
     flow_text,
 )
@@ -83,7 +83,7 @@
         own_address: tuple[str, int],
         peers: Peers,
         routes: Routes,
-        to_peer: Send,
+        to_peer: FlowSend,
         counts: BalancerFlowCounts,
     ) -> None:
         self.latency = LatencyHistogram()
@@ -135,7 +135,7 @@
         if now - lookup.last_sent_at > LOOKUP_RETRY_S:
             return
         for raw in lookup.buffered:
-            self._to_peer(self._carry_header + raw, owner)
+            self._to_peer(flow, self._carry_header + raw, owner)
 
     def expire(self, now: float) -> None:
         """Discard the lookups of flows that have sent no packet for a while."""
@@ -160,7 +160,7 @@
             "flow_sought", flow=flow_text(packet.flow), asked=[peer.name for peer in candidates]
         )
         for peer in candidates:
-            self._send(self._seek_header + packet.raw, peer.address)
+            self._send(packet.flow, self._seek_header + packet.raw, peer.address)
 
     def _search(self, lookup: Lookup, now: float) -> None:
         """Ask the next candidate for a search, so that an agent that is down delays only one."""
@@ -181,7 +181,8 @@
             denied_by=len(lookup.denied),
             searches=lookup.searches,
         )
-        self._send(self._search_header + lookup.packet.raw, searcher)
+        packet = lookup.packet
+        self._send(packet.flow, self._search_header + packet.raw, searcher)
 
     def _candidates(self, packet: FlowPacket, count: int) -> list[Peer]:
         """Return the first candidates among the agents that may hold the flow.
@@ -196,10 +197,10 @@
         holders = table.holders.get(route.service_for(packet.flow), ())
         return flow_candidates(packet.flow, holders or table.holders_of(route.holder_keys), count)
 
-    def _send(self, datagram: bytes, address: tuple[str, int]) -> None:
+    def _send(self, flow: bytes, datagram: bytes, address: tuple[str, int]) -> None:
         self._counts.lookup_copies += 1
         self._counts.lookup_bytes += len(datagram)
-        self._to_peer(datagram, address)
+        self._to_peer(flow, datagram, address)
 
 
 def _header(kind: Kind, own_address: tuple[str, int]) -> bytes:
