Let agents of earlier versions ignore the datagram that names an owner

Cause: an agent that does not know FLAG_RECORDED would take the datagram as a packet of the flow and deliver its six bytes to the target while a deployment is upgraded.

Change: the datagram carries FLAG_DECLINED as well, which such an agent drops where it has made no offer.

--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -25,7 +25,7 @@
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
-from lentilcourse.geneve import FLAG_RECORDED, PacketLabel, encode_label
+from lentilcourse.geneve import FLAG_DECLINED, FLAG_RECORDED, PacketLabel, encode_label
 from lentilcourse.messages.flows import (
     FlowLoad,
     FlowRecord,
@@ -133,14 +133,17 @@
         return None
 
     def _record_datagram(self, key: bytes, directory_entry: DirectoryEntry) -> bytes | None:
-        """Return the datagram that names the owner of a flow, or None if its address is unknown."""
+        """Return the datagram that names the owner of a flow, or None if its address is unknown.
+
+        Earlier versions do not know FLAG_RECORDED, but ignore a decline without an offer.
+        """
         owner = self.view.peers.get(directory_entry.owner)
         if owner is None:
             return None
         label = PacketLabel(
             entry_id=directory_entry.entry_id,
             version=directory_entry.version,
-            flags=FLAG_RECORDED,
+            flags=FLAG_RECORDED | FLAG_DECLINED,
             detail=directory_entry.local_port,
         )
         host, port = owner.data_address.pair()
