Prove the owner's own answer to a probe while the recorder is down

Change: flows.owner_answers_an_unknown_home, in which the recorder is down, stands for that mutation. flows.unknown_home_learns_owner stays as it is.

Result: the new property passes, and fails without the mechanism.

--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -525,6 +525,32 @@
     world.teardown()
 
 
+@prop("flows.owner_answers_an_unknown_home")
+def check_owner_answers():
+    """An owner answers the probe of a home that it does not know while the recorder is down."""
+    world = RestartWorld()
+    for _ in range(12):
+        world.open_flow(0)
+    world.change_membership("t4", "join")
+    world.apply_all("t4")
+    moved = [key for key in world.flows if route_home(world, key) == "t4"]
+    recorders = {key: recorder_of(world, key) for key in moved}
+    down = recorders[moved[0]]
+    world.kill_agent(down)
+    for _ in range(6):
+        for key in moved:
+            if recorders[key] == down:
+                world.send(key, 0)
+                world.run_datagrams()
+                world.owner_stays()
+        world.now += 0.5
+
+
+def recorder_of(world, key):
+    """Return the agent that records a flow, as its owner knows it."""
+    return world.planes[world.owners[key]]._view.recorder(bucket_of(key))
+
+
 @prop("flows.probes_do_not_grow_with_packets")
 def check_probes():
     """Packets of a flow whose owner is not known cause one probe and reach the owner in order.
