Keep an agent's denials in a class of their own, and log refusals

Cause: read as a newcomer, the agent's flow handling held two more dictionaries with their own expiry, and names like searchers beside searches; a reply's answers were called verdicts, as are those on announcements. In the product's own planes a refusal left no line, so that open findings could not be traced from logs.

Change: denial_memory.py holds what was denied and who asked; names follow. No decision changes.

--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -573,11 +573,11 @@
         max_size=MAX_FLOWS_PER_QUERY,
     )
 )
-def check_queries(verdicts):
+def check_queries(answers):
     """Queries and replies are decoded as they were encoded, and fit an Ethernet frame."""
     address = ("10.0.0.1", 7)
-    query = FlowQuery(searcher=address, flows=tuple(verdicts))
-    reply = FlowReply(agent=address, verdicts=verdicts)
+    query = FlowQuery(searcher=address, flows=tuple(answers))
+    reply = FlowReply(agent=address, answers=answers)
     assert decode_query(encode_query(query)) == query
     assert decode_reply(encode_reply(reply)) == reply
     assert len(encode_reply(reply)) <= MAX_DATAGRAM_BYTES
--- a/lentilcourse/error_texts.py
+++ b/lentilcourse/error_texts.py
@@ -67,7 +67,7 @@
 PACKET_LENGTH: Final = "length field does not match the datagram"
 PACKET_PROTOCOL: Final = "unsupported protocol {protocol}"
 PACKET_FLAGS: Final = "unknown flags in {flags:#x}"
-PACKET_VERDICT: Final = "unknown verdict in a reply"
+PACKET_ANSWER: Final = "unknown answer in a reply"
 PACKET_FRAGMENT: Final = "fragments are not carried"
 
 # Refusals.
--- a/lentilcourse/refusals.py
+++ b/lentilcourse/refusals.py
@@ -14,6 +14,7 @@
 
 from lentilcourse import error_texts
 from lentilcourse.ids import new_id
+from lentilcourse.logs import get_logger
 from lentilcourse.messages.requests import Refusal
 from lentilcourse.model import Entry
 
@@ -65,6 +66,9 @@
 HTTP_STATUS_OWNER_LIMIT: Final = 429
 
 
+_log = get_logger(__name__)
+
+
 class RefusalCounts:
     """Counts refusals by reason and cause, and remembers the last ones by their id."""
 
@@ -74,8 +78,16 @@
         self._last: OrderedDict[str, Refusal] = OrderedDict()
 
     def add(self, refusal: Refusal) -> None:
-        """Count one refusal."""
+        """Count and log one refusal."""
         detail = refusal.limit if refusal.reason == REASON_OWNER_LIMIT else refusal.cause
+        _log.info(
+            "refused",
+            id=refusal.refusal_id,
+            reason=refusal.reason,
+            detail=detail,
+            ran=refusal.ran,
+            entry=refusal.entry,
+        )
         with self._lock:
             self._counts[f"{refusal.reason}:{detail}:{refusal.ran}"] += 1
             self._last[refusal.refusal_id] = refusal
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -43,6 +43,7 @@
     flow_text,
     service_key,
 )
+from lentilcourse.steering.denial_memory import DenialMemory
 from lentilcourse.steering.flow_records import AgentFlowCounts, FlowRecord, FlowState, is_over
 from lentilcourse.steering.load_meter import LoadMeter
 from lentilcourse.steering.owner_searches import OwnerSearches
@@ -58,8 +59,6 @@
 FIRST_ANNOUNCEMENT_TIMEOUT_S: Final = 2.5
 """Time after process start without an announcement after which the agent assumes that it has
 no target: twice the longest announcement interval."""
-DENIAL_MEMORY_S: Final = 5.0
-"""Time for which the agent remembers that its target returned a packet of an unrecorded flow."""
 PLACED_KINDS: Final = frozenset((Kind.OPEN, Kind.CARRY))
 """Datagrams whose balancer is sent load notices. Lookups reach agents that the balancer does not
 use otherwise."""
@@ -116,8 +115,7 @@
         self._routes = Routes(catalogue=lambda: state().catalogue)
         self._started_at = now
         self._flows: dict[bytes, FlowRecord] = {}
-        self._denied: dict[bytes, float] = {}
-        self._searchers: dict[bytes, tuple[tuple[str, int], float]] = {}
+        self._denials = DenialMemory()
         self._balancers: dict[tuple[str, int], float] = {}
         self._searches = OwnerSearches(
             own_address=limits.own_address,
@@ -268,8 +266,7 @@
         self._deliver(packet, envelope)
 
     def _on_seek(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
-        verdict = self._verdict(packet.flow, now)
-        if verdict is Possession.DENIES:
+        if self._possession(packet.flow, now) is Possession.DENIES:
             self._send_denial(packet.flow, envelope.balancer)
             return
         record = self._flows.get(packet.flow)
@@ -285,31 +282,31 @@
         self._deliver(packet, envelope)
 
     def _on_search(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
-        if self._verdict(packet.flow, now) is Possession.HOLDS:
+        if self._possession(packet.flow, now) is Possession.HOLDS:
             self._on_seek(envelope, packet, now)
         else:
             self._searches.start(packet, envelope.balancer, now)
 
     def _on_query(self, query: FlowQuery, now: float) -> None:
         with self._lock:
-            verdicts = {flow: self._verdict(flow, now) for flow in query.flows}
-            for flow, verdict in verdicts.items():
-                if verdict is Possession.UNSURE:
-                    self._searchers[flow] = query.searcher, now
-        self._reply(query.searcher, verdicts)
-
-    def _reply(self, searcher: tuple[str, int], verdicts: dict[bytes, Possession]) -> None:
-        reply = FlowReply(agent=self._limits.own_address, verdicts=verdicts)
+            answers = {flow: self._possession(flow, now) for flow in query.flows}
+            for flow, answer in answers.items():
+                if answer is Possession.UNSURE:
+                    self._denials.note_question(flow, query.searcher, now)
+        self._reply(query.searcher, answers)
+
+    def _reply(self, searcher: tuple[str, int], answers: dict[bytes, Possession]) -> None:
+        reply = FlowReply(agent=self._limits.own_address, answers=answers)
         self._outputs.to_peer(encode_reply(reply), searcher)
 
-    def _verdict(self, flow: bytes, now: float) -> Possession:
+    def _possession(self, flow: bytes, now: float) -> Possession:
         """Return whether the target holds a flow."""
         record = self._flows.get(flow)
         if record is not None and record.target_run == self._watch.run:
             return Possession.HOLDS if record.state is FlowState.HELD else Possession.UNSURE
         if record is None and self._may_hold_unrecorded_flows(now):
-            denied_at = self._denied.get(flow, float("-inf"))
-            return Possession.DENIES if now - denied_at < DENIAL_MEMORY_S else Possession.UNSURE
+            is_denied = self._denials.is_denied(flow, now)
+            return Possession.DENIES if is_denied else Possession.UNSURE
         return Possession.DENIES
 
     def _may_hold_unrecorded_flows(self, now: float) -> bool:
@@ -417,15 +414,14 @@
 
         While an agent searches for the flow, that one is told; the balancer waits for its result.
         """
-        self._denied[flow] = now
+        searcher = self._denials.deny(flow, now)
         _log.info(
             "flow_denied",
             flow=flow_text(flow),
             target_run=self._watch.run,
             balancer=balancer[0],
         )
-        if flow in self._searchers:
-            searcher, _ = self._searchers.pop(flow)
+        if searcher is not None:
             self._reply(searcher, {flow: Possession.DENIES})
         else:
             self._send_denial(flow, balancer)
@@ -484,12 +480,7 @@
             expired = [flow for flow, record in self._flows.items() if is_over(record, idle_s, now)]
             for flow in expired:
                 self._remove_record(flow, now)
-            for flow in [key for key, at in self._denied.items() if now - at > DENIAL_MEMORY_S]:
-                del self._denied[flow]
-            for flow in [
-                key for key, (_, at) in self._searchers.items() if now - at > DENIAL_MEMORY_S
-            ]:
-                del self._searchers[flow]
+            self._denials.expire(now)
 
     def search_owners(self, now: float) -> None:
         """Ask other agents about the flows whose owners are being searched for."""
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -34,7 +34,7 @@
 MAX_LOAD: Final = 65.0
 FLOW_BYTES: Final = 12
 MAX_FLOWS_PER_QUERY: Final = 90
-"""Flows of one query or reply; with more, a reply would not fit an Ethernet frame."""
+"""Flows of one query; the reply about them fits an Ethernet frame."""
 
 
 class Kind(enum.IntEnum):
@@ -51,6 +51,8 @@
         resets the flow (balancer to agent).
     QUERY: asks whether the receiver's target holds some flows (agent to agent).
     REPLY: answers a query (agent to agent).
+
+    7 is not used again: earlier versions send it to all agents.
     """
 
     OPEN = 1
@@ -118,7 +120,7 @@
     UNSURE = 3
 
 
-VERDICTS: Final = {verdict.value: verdict for verdict in Possession}
+POSSESSIONS: Final = {possession.value: possession for possession in Possession}
 
 
 @attrs.frozen(kw_only=True)
@@ -134,7 +136,7 @@
     """The answers of the agent at `agent` to a query, by flow key."""
 
     agent: tuple[str, int]
-    verdicts: dict[bytes, Possession]
+    answers: dict[bytes, Possession]
 
 
 @lru_cache(maxsize=4096)
@@ -261,7 +263,7 @@
 def encode_reply(reply: FlowReply) -> bytes:
     """Encode a reply to a query."""
     host, port = reply.agent
-    body = b"".join(flow + bytes((verdict,)) for flow, verdict in reply.verdicts.items())
+    body = b"".join(flow + bytes((answer,)) for flow, answer in reply.answers.items())
     return QUERY_HEADER.pack(Kind.REPLY, pack_host(host), port) + body
 
 
@@ -269,11 +271,11 @@
     """Decode a reply to a query; raises `PacketError` if it is malformed."""
     size = FLOW_BYTES + 1
     address, body = _read_query_header(datagram, size)
-    answers = [body[at : at + size] for at in range(0, len(body), size)]
-    if not all(answer[FLOW_BYTES] in VERDICTS for answer in answers):
-        raise PacketError(error_texts.PACKET_VERDICT)
-    verdicts = {answer[:FLOW_BYTES]: VERDICTS[answer[FLOW_BYTES]] for answer in answers}
-    return FlowReply(agent=address, verdicts=verdicts)
+    items = [body[at : at + size] for at in range(0, len(body), size)]
+    if not all(item[FLOW_BYTES] in POSSESSIONS for item in items):
+        raise PacketError(error_texts.PACKET_ANSWER)
+    answers = {item[:FLOW_BYTES]: POSSESSIONS[item[FLOW_BYTES]] for item in items}
+    return FlowReply(agent=address, answers=answers)
 
 
 def _read_query_header(datagram: bytes, item_bytes: int) -> tuple[tuple[str, int], bytes]:
--- a/lentilcourse/steering/owner_searches.py
+++ b/lentilcourse/steering/owner_searches.py
@@ -116,15 +116,15 @@
 
     def on_reply(self, reply: FlowReply, now: float) -> None:
         """Handle the answers of an agent."""
-        for flow, verdict in reply.verdicts.items():
+        for flow, answer in reply.answers.items():
             search = self._pending.get(flow)
             if search is None:
                 continue
-            if verdict is Possession.DENIES:
+            if answer is Possession.DENIES:
                 search.denied.add(reply.agent)
                 self._end_if_dead(search)
                 continue
-            if verdict is Possession.HOLDS:
+            if answer is Possession.HOLDS:
                 del self._pending[flow]
             if reply.agent not in search.tried:
                 search.tried.add(reply.agent)
