Count a peer as dead from its last message on, not from its lease alone

Callers saw (fault soak): open flows refused target-gone though their targets lived, when all connections of agents and controllers had gone silent twice within a few seconds.

Cause: an agent took a peer for dead 2.5 s after its lease had expired, if the stream to it was closed. Leases of all expire while connections are silent; the incoming stream of the peer was open, and its messages had arrived until a second before.

Change: the grace period runs from the later of the lease's end and the peer's last message; each peer sends its load every 0.5 s. A VM that is lost is refused about as early as before: its messages end before its lease.

--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -11,7 +11,9 @@
 
 from lentilcourse.actions import DrainTarget, LoseTarget
 from lentilcourse.agent.cold_detection import ColdDetector
+from lentilcourse.agent.completeness import LOST_PEER_GRACE_S, Completeness
 from lentilcourse.agent.flow_plane import FlowPlane
+from lentilcourse.agent.flow_view import build_view
 from lentilcourse.agent.target import TargetAnnouncement, TargetHealth
 from lentilcourse.balancer.packet_path import build_routes
 from lentilcourse.buckets import bucket_of
@@ -382,7 +384,7 @@
             del self.streams[pair]
         for other in NAMES:
             if other != name:
-                self.planes[other].on_peer_lost(name, self.now)
+                self.planes[other].on_peer_lost(name)
 
     @rule(rejoins=st.booleans(), age=st.integers(0, 6))
     def start_agent(self, rejoins, age=0):
@@ -525,6 +527,21 @@
     world.teardown()
 
 
+@prop("flows.peer_that_was_heard_is_not_dead")
+def check_presumed_dead():
+    """A peer whose lease expired long ago is not dead right after its connections went silent.
+
+    Its flows were refused although its target lived (fault soak, all connections silent twice).
+    """
+    joined = change_state(change_state(State(), join("t1")), join("t2"))
+    lost = change_state(joined, LoseTarget(name="t2", incarnation="run-1"))
+    completeness = Completeness(connected=lambda name: False)
+    completeness.on_view(build_view(joined, "t1"), build_view(lost, "t1"), 0.0)
+    completeness.note_heard("t2", 10.0)
+    assert not completeness.presumed_dead("t2", 10.0 + LOST_PEER_GRACE_S)
+    assert completeness.presumed_dead("t2", 10.1 + LOST_PEER_GRACE_S)
+
+
 @prop("flows.owner_answers_an_unknown_home")
 def check_owner_answers():
     """An owner answers the probe of a home that it does not know while the recorder is down."""
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -34,7 +34,7 @@
         self._confirmed_versions: dict[str, int] = {}
         self._sent_records: set[str] = set()
         self._lost_since: dict[str, float] = {}
-        self._stream_ended: dict[str, float] = {}
+        self._heard_at: dict[str, float] = {}
         self._planned_stops: set[str] = set()
         self._joined_at = float("-inf")
         self._probes: dict[bytes, float] = {}
@@ -62,7 +62,7 @@
         self._planned_stops = {name for name, peer in new.peers.items() if peer.planned_stop}
         for name in old.peers.keys() - new.peers.keys():
             self._confirmed_versions.pop(name, None)
-            self._stream_ended.pop(name, None)
+            self._heard_at.pop(name, None)
 
     def confirm(self, peer: str, version: int) -> None:
         """Record that a peer has registered all its flows as of state `version`."""
@@ -90,10 +90,13 @@
             if not peer.lost and name not in view.out
         )
 
-    def on_peer_lost(self, peer: str, now: float) -> None:
-        """Discard the confirmation of a peer whose stream has ended."""
+    def revoke(self, peer: str) -> None:
+        """Discard a peer's confirmation because its stream has ended."""
         self._confirmed_versions.pop(peer, None)
-        self._stream_ended[peer] = now
+
+    def note_heard(self, peer: str, now: float) -> None:
+        """Record that a message of a peer has arrived; each sends its load every 0.5 s."""
+        self._heard_at[peer] = now
 
     def unconfirmed_peers(self, view: FlowView, bucket: int, now: float) -> list[str]:
         """Return the peers that may own flows of a bucket that this home has no record of.
@@ -113,16 +116,16 @@
     def presumed_dead(self, peer: str, now: float) -> bool:
         """Return whether a peer is treated as dead and its flows as ended.
 
-        Its lease must have expired and the streams with it must have ended: an agent that is only
-        cut off from the controllers keeps its flows. Both must have happened more than
-        `LOST_PEER_GRACE_S` ago, or `PLANNED_STOP_GRACE_S` after a planned stop: an agent whose
-        lease expired earlier may since have joined again and stopped as planned, in versions that
-        this agent has not received yet.
+        Its lease must have expired and this agent's stream to it must be closed: an agent that is
+        only cut off from the controllers keeps its flows. Since the lease expired and since the
+        last message of the peer, `LOST_PEER_GRACE_S` must have passed, or `PLANNED_STOP_GRACE_S`
+        after a planned stop: a peer may have joined again and stopped as planned in versions that
+        this agent has not received yet, or all its connections may have gone silent.
         """
         lost_since = self._lost_since.get(peer)
         if lost_since is None or self._connected(peer):
             return False
-        dead_since = max(lost_since, self._stream_ended.get(peer, lost_since))
+        dead_since = max(lost_since, self._heard_at.get(peer, lost_since))
         grace_s = PLANNED_STOP_GRACE_S if peer in self._planned_stops else LOST_PEER_GRACE_S
         return now - dead_since > grace_s
 
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -220,9 +220,9 @@
             for batch in _split_into_messages(self.directory.flows_of(owner))
         ]
 
-    def on_peer_lost(self, name: str, now: float) -> None:
+    def on_peer_lost(self, name: str) -> None:
         """Revoke the registration status of a peer whose incoming stream has ended."""
-        self.completeness.on_peer_lost(name, now)
+        self.completeness.revoke(name)
 
     @singledispatchmethod
     def on_message(self, msg: object, peer: str, now: float) -> None:
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -597,14 +597,15 @@
         with self._lock:
             self._peering.on_peer_connected(peer, now)
 
-    def on_peer_lost(self, name: str, now: float) -> None:
+    def on_peer_lost(self, name: str) -> None:
         """Handle the end of the incoming stream from a peer."""
         with self._lock:
-            self._peering.on_peer_lost(name, now)
+            self._peering.on_peer_lost(name)
 
     def on_message(self, msg: object, peer: str, now: float) -> None:
         """Process one message from another agent."""
         with self._lock:
+            self._completeness.note_heard(peer, now)
             self._peering.on_message(msg, peer, now)
 
 
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -156,7 +156,7 @@
                 self._handle_peer_message(msg, stream.peer, time.monotonic())
                 msg = stream.receive()
         finally:
-            self.flows.on_peer_lost(stream.peer, time.monotonic())
+            self.flows.on_peer_lost(stream.peer)
             self.keys.on_peer_lost(stream.peer)
 
     def _announcement(self) -> Announcement | None:
