--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install demo test bench prove
+.PHONY: install demo test bench prove soak
 
 install: $(VENV)/.installed
 
@@ -22,5 +22,8 @@
 prove: install
 	$(PYTHON) tools/prove.py
 
+soak: install
+	$(PYTHON) -m lentilcourse.lab.soak --first $(or $(FIRST),1) --last $(or $(LAST),50)
+
 bench: install
 	$(PYTHON) -m lentilcourse.lab.bench
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -22,6 +22,7 @@
     "formation",
     "founding",
     "logging",
+    "soak",
 )
 
 
