--- a/lentilcourse/lab/soak.py
+++ b/lentilcourse/lab/soak.py
@@ -265,11 +265,11 @@
     waiting = list(disturbances)
     ends: list[tuple[float, End]] = []
     ended: set[str] = set()
+    stopping = {each.process for each in disturbances if each.kind == "stop"}
     while waiting or ends:
         _pace(soak, PACE_S)
         now_s = time.monotonic() - began
         ends = [(at_s, end) for at_s, end in ends if at_s > now_s or not end()]
-        stopping = {each.process for each in disturbances if each.kind == "stop"}
         ended |= _exited(soak) - stopping
         while waiting and waiting[0].at_s <= now_s:
             disturbance = waiting.pop(0)
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -29,7 +29,7 @@
     encode_envelope,
     flow_text,
 )
-from lentilcourse.steering.flow_records import BalancerFlowCounts
+from lentilcourse.steering.flow_records import BalancerFlowCounts, remove_outdated
 from lentilcourse.steering.owner_lookups import OwnerLookups
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
 from lentilcourse.steering.peers import Peer, Peers
@@ -150,11 +150,7 @@
         """Remove the hints of idle flows and abandoned lookups."""
         life_s = self._state().catalogue.flow_idle_s + HINT_EXTRA_LIFE_S
         with self._lock:
-            outdated = [
-                flow for flow, hint in self._hints.items() if now - hint.last_packet_at > life_s
-            ]
-            for flow in outdated:
-                del self._hints[flow]
+            remove_outdated(self._hints, lambda hint: now - hint.last_packet_at > life_s)
             self._lookups.expire(now)
 
     def _on_opening(self, packet: FlowPacket, hint: OwnerHint | None, now: float) -> None:
--- a/lentilcourse/steering/denial_memory.py
+++ b/lentilcourse/steering/denial_memory.py
@@ -9,6 +9,8 @@
 
 from typing import Final
 
+from lentilcourse.steering.flow_records import remove_outdated
+
 DENIAL_LIFE_S: Final = 5.0
 """Time for which an answer of the target, or the address to be told, is kept."""
 
@@ -36,7 +38,5 @@
 
     def expire(self, now: float) -> None:
         """Forget what is too old."""
-        for flow in [key for key, at in self._denied_at.items() if now - at > DENIAL_LIFE_S]:
-            del self._denied_at[flow]
-        for flow in [key for key, (_, at) in self._asked_by.items() if now - at > DENIAL_LIFE_S]:
-            del self._asked_by[flow]
+        remove_outdated(self._denied_at, lambda denied_at: now - denied_at > DENIAL_LIFE_S)
+        remove_outdated(self._asked_by, lambda asked: now - asked[1] > DENIAL_LIFE_S)
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
-from typing import Final
+from collections.abc import Callable
+from typing import Final, TypeVar
 
 import attrs
 
+T = TypeVar("T")
+
 CLOSED_LIFE_S: Final = 3.0
 """Time for which the record of a closed flow is kept, to handle late retransmissions."""
 
@@ -89,6 +92,12 @@
     notices: int = 0
 
 
+def remove_outdated(records: dict[bytes, T], outdated: Callable[[T], bool]) -> None:
+    """Remove all records, kept by flow key, for which `outdated` returns True."""
+    for flow in [flow for flow, record in records.items() if outdated(record)]:
+        del records[flow]
+
+
 def is_over(record: FlowRecord, idle_s: float, now: float) -> bool:
     """Return whether the record of a flow can be removed."""
     closed = record.caller_closed and record.target_closed
--- a/lentilcourse/steering/owner_lookups.py
+++ b/lentilcourse/steering/owner_lookups.py
@@ -24,7 +24,7 @@
     encode_envelope,
     flow_text,
 )
-from lentilcourse.steering.flow_records import BalancerFlowCounts
+from lentilcourse.steering.flow_records import BalancerFlowCounts, remove_outdated
 from lentilcourse.steering.packet_format import FlowPacket
 from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.routes import Routes
@@ -139,13 +139,7 @@
 
     def expire(self, now: float) -> None:
         """Discard the lookups of flows that have sent no packet for a while."""
-        outdated = [
-            flow
-            for flow, lookup in self._pending.items()
-            if now - lookup.last_sent_at > LOOKUP_LIFE_S
-        ]
-        for flow in outdated:
-            del self._pending[flow]
+        remove_outdated(self._pending, lambda lookup: now - lookup.last_sent_at > LOOKUP_LIFE_S)
 
     def _ask_candidates(self, packet: FlowPacket, now: float) -> None:
         candidates = self._candidates(packet, LOOKUP_CANDIDATES)
