Wait for key holders that are out of reach before their records count as lost

Cause: when all connections go silent, all leases expire although every agent lives. An agent that became home of a bucket took the records of its former holders for lost at once, since they were not live in the state, and refused keys that are not time-ordered for an hour (`key-history-lost`). Its loss also spread with each bucket that it handed over, because `KeysComplete` named one loss for all buckets.

Change: a former holder is waited for until it has ended (its run has changed or it was removed) or has been out of reach for 5 s; requests with unknown keys are refused as not run meanwhile. `KeysComplete` tells buckets apart: it names those of which records are missing, with the runs that have them, and those with losses. An agent that still waits has run nothing under unknown keys, so the next holder waits for the same runs, or finds that it has the records itself. Found on the way: an agent that waited was taken as complete by the next holder; the decision on a key and its new record were two steps, between which a bucket could move; a backup acknowledged keys to a home that a newer state had replaced; the end of a transfer could name a version newer than the records sent with it. Earlier builds ignore the new fields.

--- a/features/properties/key_replication.py
+++ b/features/properties/key_replication.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from lentilcourse.agent.idempotency import KeyRecords
+from lentilcourse.agent.key_history import HOLDER_GRACE_S, KeyVerdict
 from lentilcourse.agent.key_replication import KeyReplication
 from lentilcourse.buckets import bucket_of, build_table
 from lentilcourse.model import State
@@ -32,6 +33,7 @@
     """Agents of one service with key records, and the ordered streams between them."""
 
     def __init__(self):
+        self.now = 100.0
         self.links = {}
         self.records = {name: KeyRecords() for name in NAMES}
         self.agents = {name: self.agent(name) for name in NAMES}
@@ -65,7 +67,7 @@
         new = attrs.evolve(self.state, version=self.state.version + 1, targets=targets)
         old, self.state = self.state, new
         for each in self.agents.values():
-            each.on_state(old, new)
+            each.on_state(old, new, self.now)
 
     def home(self):
         return build_table(self.state, "board").home(bucket_of(KEY.encode()))
@@ -86,12 +88,19 @@
         if waiting:
             sender, receiver = waiting[number % len(waiting)]
             msg = self.links[sender, receiver].pop(0)
-            self.agents[receiver].on_message(msg, sender)
+            self.agents[receiver].on_message(msg, sender, self.now)
 
     def deliver_all(self):
         while any(self.links.values()):
             self.deliver(0)
 
+    def deliver_among(self, names):
+        """Deliver the messages between some agents, and lose those of all others."""
+        for (sender, receiver), waiting in self.links.items():
+            if not {sender, receiver} <= set(names):
+                waiting.clear()
+        self.deliver_all()
+
     def break_stream(self, number):
         """Drop the undelivered messages of one stream; its sender then sends all records again."""
         waiting = [link for link in sorted(self.links) if self.links[link]]
@@ -100,8 +109,7 @@
         sender, receiver = waiting[number % len(waiting)]
         self.links[sender, receiver] = []
         agent = self.agents[sender]
-        for state in agent._states_for(receiver, build_table(State(), "board")):
-            agent._peers.send(receiver, state)
+        agent._transfer_records(receiver, build_table(State(), "board"))
 
     def ask_all_owners(self):
         """Let every agent that lacks the outcome of the key ask its owner."""
@@ -179,3 +187,100 @@
     assert not cluster.holders_without_outcome()
     (backup,) = backups
     assert not cluster.records[backup].find(1, KEY).released
+
+
+orders = st.permutations(NAMES)
+
+
+def use_key(cluster, key):
+    """Run a request at its key's home; returns the claim, whose record is new if it may run."""
+    home = build_table(cluster.state, "board").home(bucket_of(key.encode()))
+    claim = cluster.agents[home].open_record(request(key), cluster.now)
+    if claim.first:
+        cluster.agents[home].claim(request(key), claim.record)
+    return claim
+
+
+def silence_all(cluster, order, delivered, gap_s):
+    """Let all leases expire as when all connections go silent; agents return one at a time.
+
+    `delivered` holds, for each return, whether the streams between agents work by then.
+    """
+    cluster.apply_table(frozenset())
+    for count, works in enumerate(delivered, 1):
+        cluster.now += gap_s
+        cluster.apply_table(frozenset(order[:count]))
+        if works:
+            cluster.deliver_all()
+    cluster.deliver_all()
+
+
+@prop("requests.silent_agents_lose_no_key")
+@given(orders, st.lists(st.booleans(), min_size=4, max_size=4), st.integers(1, 3))
+def check_silence(order, delivered, silences):
+    """Leases that expire while all agents live lose no key and run none again (fault soak).
+
+    Agents of which only the connections had gone silent counted as lost with all their records:
+    requests were refused `key-history-lost` for an hour.
+    """
+    cluster = KeyCluster()
+    used = [f"used-{number}" for number in range(12)]
+    assert all(use_key(cluster, key).first for key in used)
+    cluster.deliver_all()
+    for _ in range(silences):
+        silence_all(cluster, order, delivered, HOLDER_GRACE_S / 5)
+    fresh = [use_key(cluster, f"fresh-{number}") for number in range(12)]
+    assert all(claim.verdict is KeyVerdict.NEW and claim.first for claim in fresh)
+    assert not any(use_key(cluster, key).first for key in used)
+
+
+@prop("requests.unfinished_transfer_is_not_trusted")
+@given(orders)
+def check_unfinished(order):
+    """An agent that still waits for records does not make the next holder believe in its own."""
+    cluster = KeyCluster()
+    used = [f"used-{number}" for number in range(40)]
+    assert all(use_key(cluster, key).first for key in used)
+    cluster.deliver_all()
+    cluster.apply_table(frozenset())
+    for count in (1, 2, 3):
+        present = order[:count]
+        cluster.apply_table(frozenset(present))
+        cluster.deliver_among(present)
+        assert not any(use_key(cluster, key).first for key in used)
+
+
+@prop("requests.silent_agents_are_waited_for")
+@given(orders, st.floats(0.1, HOLDER_GRACE_S - 0.1))
+def check_wait(order, silent_s):
+    """While former holders are out of reach, their keys are neither refused for good nor run."""
+    cluster = KeyCluster()
+    cluster.deliver_all()
+    cluster.apply_table(frozenset())
+    cluster.apply_table(frozenset(order[:1]))
+    cluster.links.clear()
+    cluster.now += silent_s
+    foreign = [f"key-{number}" for number in range(64)]
+    verdicts = {use_key(cluster, key).verdict for key in foreign}
+    assert verdicts == {KeyVerdict.NEW, KeyVerdict.WAIT}
+    cluster.now += HOLDER_GRACE_S
+    assert KeyVerdict.MAYBE_USED in {use_key(cluster, f"old-{key}").verdict for key in foreign}
+
+
+@prop("requests.former_home_records_no_key")
+@given(st.integers(0, 40))
+def check_former_home(number):
+    """A backup that knows of a newer home acknowledges no key to the former one."""
+    key = f"key-{number}"
+    cluster = KeyCluster()
+    old = build_table(cluster.state, "board")
+    home, backup = old.candidates[bucket_of(key.encode())][:2]
+    claim = cluster.agents[home].open_record(request(key), cluster.now)
+    stale = cluster.agents.pop(home)
+    cluster.apply_table(frozenset(NAMES) - {home})
+    cluster.agents[home] = stale
+    cluster.links.clear()
+    stale.claim(request(key), claim.record)
+    cluster.deliver_all()
+    assert cluster.records[backup].find(1, key) is None
+    assert not cluster.links.get((backup, home))
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -12,7 +12,15 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
 from lentilcourse.agent.idempotency import KeyRecord, KeyRecords, fingerprint
-from lentilcourse.agent.key_history import KEY_LIFE_MS, KeyHistory, KeyVerdict, key_time_ms
+from lentilcourse.agent.key_history import (
+    KEY_LIFE_MS,
+    Confirmation,
+    KeyHistory,
+    KeyVerdict,
+    ServiceView,
+    key_time_ms,
+    run_name,
+)
 from lentilcourse.agent.slots import QUEUE_PER_SLOT, SlotQueue
 from lentilcourse.balancer.request_path import (
     RequestRefusedError,
@@ -218,17 +226,30 @@
         self.wall_ms = 1_000_000_000_000
         self.members = list(NAMES)
         self.dead = set()
+        self.silent = set()
         self.version = 0
         self.runs = {}
         self.keys = []
+        self.starts = dict.fromkeys(NAMES, 1)
         self.records = {name: KeyRecords() for name in NAMES}
-        self.history = {name: KeyHistory(name=name) for name in NAMES}
+        self.history = {name: self.new_history(name) for name in NAMES}
         self.previous_members = {}
         self.apply_table(first=True)
 
+    @property
+    def now(self):
+        return self.wall_ms / 1000
+
+    def run_of(self, name):
+        return run_name(name, str(self.starts[name]))
+
+    def new_history(self, name):
+        return KeyHistory(name=name, run=self.run_of(name))
+
     def table(self):
-        alive = [name for name in self.members if name not in self.dead]
-        return rendezvous_table("s", tuple(alive))
+        lost = self.dead | self.silent
+        alive = [name for name in self.members if name not in lost]
+        return rendezvous_table("s", tuple(alive or self.members))
 
     def apply_table(self, first=False):
         """Apply the table at all live agents, then transfer and confirm records between them."""
@@ -236,26 +257,36 @@
         self.version += 1
         for name in self.members:
             if name not in self.dead:
-                live = frozenset(self.members) - self.dead - {name}
-                self.history[name].on_table(
-                    table,
-                    live,
+                view = ServiceView(
                     version=self.version,
+                    table=table,
+                    runs={each: self.run_of(each) for each in self.members if each != name},
+                    lost=frozenset(self.dead | self.silent),
+                )
+                self.history[name].on_view(
+                    view,
                     restarted=not first and name not in self.previous_members,
                     versions_skipped=False,
+                    now=self.now,
                     wall_ms=self.wall_ms,
                 )
+        told = {name: self.confirmation(name) for name in self.members}
         for name in self.members:
             for peer in self.members:
-                if name != peer and not {name, peer} & self.dead:
-                    self.hand_over(name, peer, table)
+                if name != peer and not {name, peer} & (self.dead | self.silent):
+                    self.hand_over(name, peer, table, told[name])
         self.previous_members = {name: True for name in self.members if name not in self.dead}
 
-    def hand_over(self, name, peer, table):
+    def confirmation(self, name):
+        history = self.history[name]
+        partial = {each.bucket: each for each in history.partial()}
+        return Confirmation(version=self.version, partial=partial, lost_ms=history.lost_ms())
+
+    def hand_over(self, name, peer, table, confirmation):
         for (entry_id, key), record in self.records[name].items():
             if peer in table.candidates[bucket_of(key.encode())][:2]:
                 self.records[peer].merge(key_state(entry_id, key, record))
-        self.history[peer].confirm(name, self.version, self.history[name].lost_ms())
+        self.history[peer].confirm(self.run_of(name), confirmation, self.now, self.wall_ms)
 
     @rule(fresh=st.booleans(), index=st.integers(0, 20), ordered=st.booleans())
     def send(self, fresh, index, ordered):
@@ -274,7 +305,10 @@
         req = request(key)
         if self.records[home].find(req.entry_id, key) is not None:
             return
-        if self.history[home].judge(bucket, key, self.wall_ms) is not KeyVerdict.NEW:
+        if home in self.dead | self.silent:
+            return
+        verdict = self.history[home].judge(bucket, key, self.now, self.wall_ms)
+        if verdict is not KeyVerdict.NEW:
             return
         record, first = self.records[home].claim(req, home)
         assert first
@@ -288,7 +322,7 @@
         table = self.table()
         for bucket in range(BUCKETS):
             home = table.home(bucket)
-            verdict = self.history[home].judge(bucket, "fresh", self.wall_ms)
+            verdict = self.history[home].judge(bucket, "fresh", self.now, self.wall_ms)
             assert verdict is KeyVerdict.NEW, (bucket, home, verdict)
 
     @rule(name=st.sampled_from(NAMES))
@@ -317,7 +351,8 @@
         if name in self.dead:
             self.wall_ms += 5_000
             self.dead.discard(name)
-            self.history[name] = KeyHistory(name=name)
+            self.starts[name] += 1
+            self.history[name] = self.new_history(name)
             self.apply_table()
 
     @rule(name=st.sampled_from(NAMES))
@@ -326,13 +361,25 @@
         if name not in self.dead:
             self.wall_ms += 5_000
             self.records[name] = KeyRecords()
-            self.history[name] = KeyHistory(name=name)
+            self.starts[name] += 1
+            self.history[name] = self.new_history(name)
             self.previous_members.pop(name, None)
             for each in self.history.values():
                 each.revoke(name)
             self.apply_table()
 
 
+class SilentKeyCluster(KeyCluster):
+    """Agents that crash, and agents whose leases expire although they live on."""
+
+    @rule(names=st.frozensets(st.sampled_from(NAMES)), pause_ms=st.sampled_from((500, 2_000)))
+    def go_silent(self, names, pause_ms):
+        """Let the leases of some agents expire that live on and keep their records."""
+        self.wall_ms += pause_ms
+        self.silent = set(names)
+        self.apply_table()
+
+
 def request(key):
     """Return a request with an idempotency key."""
     return RequestStart(
@@ -366,9 +413,10 @@
 @prop("requests.key_runs_at_most_once")
 def check_keys():
     """No key is treated as new twice, whichever agents crash, return or lose their records."""
-    run_state_machine_as_test(
-        KeyCluster, settings=settings(max_examples=60, stateful_step_count=40)
-    )
+    for machine in (KeyCluster, SilentKeyCluster):
+        run_state_machine_as_test(
+            machine, settings=settings(max_examples=60, stateful_step_count=40)
+        )
 
 
 @prop("requests.single_losses_lose_no_key")
--- a/features/requests.feature
+++ b/features/requests.feature
@@ -21,6 +21,10 @@
       | requests.released_key_is_not_echoed  |
       | requests.owner_frees_a_released_key  |
       | requests.owner_tells_a_known_outcome |
+      | requests.silent_agents_lose_no_key  |
+      | requests.silent_agents_are_waited_for |
+      | requests.unfinished_transfer_is_not_trusted |
+      | requests.former_home_records_no_key |
 
   Scenario Outline: Orders run at most once and refusals are true, though "<fault>"
     Given a small deployment with flows and requests
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -231,14 +231,13 @@
         self._send_message(job.stream, self.evidence())
 
     def _run_keyed(self, job: Job) -> Refusal | None:
-        if self.records.find(job.req.entry_id, job.req.idempotency_key) is None:
-            verdict = self._keys.judge(job.req.idempotency_key)
-            if verdict is KeyVerdict.MAYBE_USED:
+        claim = self._keys.open_record(job.req, time.monotonic())
+        if claim.record is None:
+            if claim.verdict is KeyVerdict.MAYBE_USED:
                 return job.refuse(Cause.KEY_HISTORY_LOST, RAN_UNKNOWN)
-            if verdict is not KeyVerdict.NEW:
-                return job.refuse(Cause.NOT_HOME, RAN_NO)
-        record, first = self.records.claim(job.req, self._keys.own_run)
-        if not first:
+            return job.refuse(Cause.NOT_HOME, RAN_NO)
+        record = claim.record
+        if not claim.first:
             return self._replay(job, record)
         job.store = AnswerStore(record=record)
         refusal = self._run_claimed(job, record)
@@ -284,7 +283,7 @@
         ask_at = time.monotonic()
         while not record.ended.wait(timeout=OUTCOME_POLL_S):
             now = time.monotonic()
-            if not self._keys.owner_runs(record) or now >= wait_until:
+            if not self._keys.owner_runs(record, now) or now >= wait_until:
                 return False
             if now >= ask_at:
                 self._keys.ask_owner(job.req, record)
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -186,7 +186,7 @@
 
     def _handle_peer_message(self, msg: object, peer: str, now: float) -> None:
         if isinstance(msg, KEY_MESSAGES):
-            self.keys.on_message(msg, peer)
+            self.keys.on_message(msg, peer, now)
         else:
             self.flows.on_message(msg, peer, now)
 
@@ -197,7 +197,7 @@
     def _on_state(self, state: State, now: float) -> None:
         self.flows.on_state(state, now)
         self.requests.refresh_slot_limit(now)
-        self.keys.on_state(self._previous_state, state)
+        self.keys.on_state(self._previous_state, state, now)
         self._previous_state = state
 
     def _run_limit_updates(self) -> None:
--- a/lentilcourse/messages/requests.py
+++ b/lentilcourse/messages/requests.py
@@ -149,6 +149,7 @@
         body: body of the stored answer.
         refusal: refusal that was the outcome.
         claim_id: set when the owner waits for `ClaimAcknowledged`.
+        version: state version in force at the sender; 0 from earlier builds.
     """
 
     entry_id: int
@@ -160,6 +161,7 @@
     body: bytes | None
     refusal: Refusal | None
     claim_id: str
+    version: int = 0
 
 
 @message
@@ -186,13 +188,34 @@
     owner: str
 
 
+@attrs.frozen(kw_only=True)
+class PartialBucket:
+    """A bucket of which an agent may not have all records.
+
+    Attributes:
+        bucket: number of the bucket.
+        sources: runs (NAME/RUN) of which one has the records that the agent still waits for.
+        lost_ms: wall-clock time in ms before which records may have been lost; 0 for never.
+    """
+
+    bucket: int
+    sources: tuple[str, ...] = ()
+    lost_ms: int = 0
+
+
 @message
 @attrs.frozen(kw_only=True)
 class KeysComplete:
-    """The sender has handed over all records that the receiver should hold.
+    """The sender has handed over the records that it has and the receiver should hold.
 
-    `lost_ms` is the wall-clock time in ms before which the sender may have lost keys.
+    Attributes:
+        version: state version in force at the sender.
+        lost_ms: wall-clock time in ms before which the sender may have lost keys of any bucket.
+        run: run of the sender, as NAME/RUN; empty from earlier builds.
+        partial: buckets with missing or lost records; None from earlier builds.
     """
 
     version: int
     lost_ms: int
+    run: str = ""
+    partial: tuple[PartialBucket, ...] | None = None
