Probe a silent owner by datagram before its flows are refused

Its peers had no message of it for longer than the grace period of 2.5 s, which silence alone takes up almost whole. Datagrams reached it all the time.

Change: a home sends a probe along with the flow's packet before it treats the owner as dead, for 0.4 s; an answer counts as a sign of life of that agent.

Measured: flows.reachable_owner_is_not_dead failed before and passes.

--- a/features/flows.feature
+++ b/features/flows.feature
@@ -14,6 +14,7 @@
       | flows.probes_do_not_grow_with_packets |
       | flows.owner_answers_an_unknown_home |
       | flows.peer_that_was_heard_is_not_dead |
+      | flows.reachable_owner_is_not_dead |
       | flows.admission_is_safe           |
       | flows.cold_limit_grows            |
       | flows.rate_never_exceeded         |
--- a/features/properties/flows.py
+++ b/features/properties/flows.py
@@ -80,7 +80,7 @@
         self.opened = others
 
     def is_connected(self, name):
-        return self.world.is_up(name)
+        return self.world.streams_work and self.world.is_up(name)
 
     def send(self, name, msg):
         if not self.is_connected(name):
@@ -104,6 +104,7 @@
         self.unopened = []
         self.datagrams = []
         self.refused = set()
+        self.streams_work = True
         self.owners = {}
         self.ports = {}
         self.flows = []
@@ -542,6 +543,30 @@
     assert completeness.presumed_dead("t2", 10.1 + LOST_PEER_GRACE_S)
 
 
+@prop("flows.reachable_owner_is_not_dead")
+def check_reachable():
+    """An agent without lease and streams keeps its flows as long as datagrams reach it.
+
+    Its flows were refused: it had been frozen, and all connections went silent when it went on, so
+    that its peers had no message for longer than the grace period (fault soak, seed 7).
+    """
+    world = FlowWorld()
+    for _ in range(12):
+        world.open_flow(0)
+    for name in ("t1", "t2", "t3"):
+        world.change_membership(name, "lose")
+        world.change_membership("t4", "join")
+        for each in NAMES:
+            world.apply_all(each)
+    world.streams_work = False
+    for _ in range(30):
+        world.now += 0.2
+        for key in list(world.owners):
+            world.send(key, 0)
+            world.run_datagrams()
+    assert not world.refused
+
+
 @prop("flows.owner_answers_an_unknown_home")
 def check_owner_answers():
     """An owner answers the probe of a home that it does not know while the recorder is down."""
--- a/lentilcourse/agent/completeness.py
+++ b/lentilcourse/agent/completeness.py
@@ -114,7 +114,7 @@
         ]
 
     def presumed_dead(self, peer: str, now: float) -> bool:
-        """Return whether a peer is treated as dead and its flows as ended.
+        """Return whether a peer is treated as dead unless it answers a probe by datagram.
 
         Its lease must have expired and this agent's stream to it must be closed: an agent that is
         only cut off from the controllers keeps its flows. Since the lease expired and since the
--- a/lentilcourse/agent/flow_peering.py
+++ b/lentilcourse/agent/flow_peering.py
@@ -25,7 +25,7 @@
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.agent.target import TargetMonitor
 from lentilcourse.buckets import bucket_of
-from lentilcourse.geneve import FLAG_DECLINED, FLAG_RECORDED, PacketLabel, encode_label
+from lentilcourse.geneve import FLAG_DECLINED, FLAG_OWNED, FLAG_RECORDED, PacketLabel, encode_label
 from lentilcourse.messages.flows import (
     FlowLoad,
     FlowRecord,
@@ -97,6 +97,8 @@
         """Record the agent at an address as owner of a flow, unless one is registered already."""
         owner = self.view.by_address.get(address)
         self.completeness.end_probe(key)
+        if owner is not None and label.flags & FLAG_OWNED:
+            self.completeness.note_heard(owner, now)
         directory_entry = self.directory.find(key, now)
         if owner is not None and (directory_entry is None or not directory_entry.registered):
             entry = DirectoryEntry(
--- a/lentilcourse/agent/flow_plane.py
+++ b/lentilcourse/agent/flow_plane.py
@@ -320,12 +320,16 @@
         if owner_removed and directory_entry.version > view.version:
             self.counts.behind += 1
             return
-        if owner_removed or self._completeness.presumed_dead(directory_entry.owner, now):
+        silent = self._completeness.presumed_dead(directory_entry.owner, now)
+        if owner_removed or (silent and self._completeness.probe_timed_out(key, now)):
+            self._completeness.end_probe(key)
             self.directory.remove(key)
             self.counts.ended_target_gone += 1
             self._refuse(packet, self._system_refusal(Cause.TARGET_GONE, entry.entry_id))
             return
         flags = FLAG_OWNER if directory_entry.registered else FLAG_OFFER
+        if silent and self._completeness.probe_due(key, now):
+            flags |= FLAG_PROBE
         self._forward(directory_entry.owner, entry, label, packet, flags)
 
     def _forward(
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -17,7 +17,7 @@
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
 from lentilcourse.agent.request_plane import MAX_REQUEST_TASKS, RequestPlane
 from lentilcourse.agent.target import TargetMonitor
-from lentilcourse.feed import feed_subscriber
+from lentilcourse.feed import Subscriber, feed_subscriber
 from lentilcourse.ids import new_id
 from lentilcourse.messages.flows import (
     FlowLoad,
@@ -144,8 +144,8 @@
     def _serve(self, stream: Stream) -> None:
         first = stream.receive()
         if isinstance(first, Subscribe):
-            stopped = self.lifecycle.stopped
-            feed_subscriber(stream, self.copy, first.version, stopped)
+            subscriber = Subscriber(stream=stream, version=first.version)
+            feed_subscriber(subscriber, self.copy, self.lifecycle.stopped)
             return
         if not isinstance(first, PEER_MESSAGES):
             self.requests.serve(stream, first)
