Renew a subscriber's agents by a checksum instead of the whole list

Cause: every subscriber got all agents every 4 s, so that their records stayed alive, and all records were sorted and copied for each subscriber at each change.

Change: a subscriber gets the whole list once, then the records that changed since the version that it was sent, at most every 0.05 s. Every 4 s a checksum over all records, with the age of the oldest, renews what it holds; if its own checksum differs it asks for the whole list. Controllers send each other changes at once and whole lists every 3 s instead of every second. Subscribers without a lease report every 1.5 s instead of 0.4 s. Earlier builds do not say in `Subscribe` that they know checksums, and get whole lists.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -27,6 +27,11 @@
       | steering.load_follows_requests                  |
       | steering.newest_record_stays                    |
       | steering.planned_end_is_told                     |
+      | directory.unchanged_agents_cost_nothing         |
+      | directory.one_change_costs_one_record           |
+      | directory.earlier_builds_get_whole_lists        |
+      | directory.silent_agents_are_dropped             |
+      | directory.subscribers_agree_in_the_end          |
       | platform.samples_of_the_page                    |
       | platform.packets_round_trip                     |
       | platform.reset_is_inside_the_window             |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -18,6 +18,7 @@
     "steering",
     "steering_load",
     "placement",
+    "directory",
     "platform",
     "formation",
     "founding",
--- a/features/properties/formation.py
+++ b/features/properties/formation.py
@@ -19,7 +19,7 @@
 from lentilcourse.actions import ANY_VERSION, Change, PublishCatalogue, SetDomain, Verdict
 from lentilcourse.catalogue import Catalogue
 from lentilcourse.changes import decide_change
-from lentilcourse.controller.directory_relay import RELAY_REFRESH_INTERVAL_S, DirectoryRelay
+from lentilcourse.controller.directory_relay import DirectoryRelay
 from lentilcourse.controller.log_store import LogStore
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.membership import (
@@ -391,7 +391,7 @@
         began = time.monotonic()
         while not received.records() and time.monotonic() - began < 5.0:
             time.sleep(0.01)
-        assert time.monotonic() - began < RELAY_REFRESH_INTERVAL_S / 2
+        assert time.monotonic() - began < 0.5
     finally:
         lifecycle.stopped.set()
 
--- a/lentilcourse/controller/directory_relay.py
+++ b/lentilcourse/controller/directory_relay.py
@@ -1,7 +1,7 @@
 """Relays the records of locally subscribed agents to the other controllers.
 
 Each controller sends only the records that it received from agents directly, to every other
-member of the group, on each change and at a regular interval.
+member of the group: those that change, and all of them at a regular interval.
 """
 
 from __future__ import annotations
@@ -21,8 +21,8 @@
 MAX_PEERS: Final = 32
 RELAY_CHECK_INTERVAL_S: Final = 0.1
 """Interval for polling for changes and for connecting to new or disconnected members."""
-RELAY_REFRESH_INTERVAL_S: Final = 1.0
-"""Longest interval between two lists sent to the same member."""
+RELAY_REFRESH_INTERVAL_S: Final = 3.0
+"""Longest interval between two whole lists sent to the same member."""
 
 
 class DirectoryRelay:
@@ -79,9 +79,13 @@
         while self._replica.membership().find(member.replica_id) is not None:
             now = time.monotonic()
             self._local_directory.expire(now)
-            if self._local_directory.version != sent_version or now >= refresh_due:
-                sent_version = self._local_directory.version
+            version = self._local_directory.version
+            if now >= refresh_due:
                 stream.call(AgentList(notices=self._local_directory.notices(now)))
                 refresh_due = now + RELAY_REFRESH_INTERVAL_S
+            elif version != sent_version:
+                changed = self._local_directory.changes_after(sent_version, now)
+                stream.call(AgentList(notices=changed))
+            sent_version = version
             if self._lifecycle.stopped.wait(timeout=RELAY_CHECK_INTERVAL_S):
                 return
--- a/lentilcourse/controller/subscriptions.py
+++ b/lentilcourse/controller/subscriptions.py
@@ -14,9 +14,9 @@
 import attrs
 
 from lentilcourse.controller.replica import Replica
-from lentilcourse.directory import AgentNotice, Directory
+from lentilcourse.directory import AgentListRequest, AgentNotice, Directory
 from lentilcourse.errors import StreamError
-from lentilcourse.feed import feed_subscriber
+from lentilcourse.feed import Subscriber, feed_subscriber
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages.state import (
     Announcement,
@@ -65,13 +65,16 @@
 
     def serve(self, stream: Stream, req: Subscribe) -> None:
         """Serve one subscriber until its stream closes."""
-        self._pool.submit(lambda: self._feed(stream, req.version))
+        subscriber = Subscriber(stream=stream, version=req.version, digests=req.digests)
+        self._pool.submit(lambda: self._feed(subscriber))
         while not self._lifecycle.stopped.is_set():
             msg = stream.receive()
             if isinstance(msg, ReportMessage):
                 self._handle_report(stream.peer, msg, time.monotonic())
             elif isinstance(msg, AgentNotice):
                 self._on_notice(msg, time.monotonic())
+            elif isinstance(msg, AgentListRequest):
+                subscriber.wants_agents = True
 
     def reports(self, now: float) -> tuple[Report, ...]:
         """Return the reports younger than `REPORT_MAX_AGE_S`, sorted by process name."""
@@ -93,13 +96,13 @@
         if msg.announcement is not None:
             self._on_announcement(name, msg.announcement)
 
-    def _feed(self, stream: Stream, version: int) -> None:
+    def _feed(self, subscriber: Subscriber) -> None:
         try:
-            feed_subscriber(stream, self._source, version, self._lifecycle.stopped)
+            feed_subscriber(subscriber, self._source, self._lifecycle.stopped)
         except StreamError:
             return
         finally:
-            stream.close()
+            subscriber.stream.close()
 
 
 @attrs.frozen(kw_only=True)
@@ -131,11 +134,13 @@
         members = self.replica.membership().members
         return ControllerList(addresses=tuple(sorted(member.address for member in members)))
 
-    def wait_after(self, version: int, agents_version: int, timeout_s: float) -> None:
+    def wait_after(self, version: int, agents_version: int | None, timeout_s: float) -> None:
         """Wait until the state or the directory has a newer version, at most `timeout_s`."""
-        machine = self.replica.machine
+        machine, directory = self.replica.machine, self.directory
+
+        def changed() -> bool:
+            agents_changed = agents_version not in (None, directory.version)
+            return machine.state.version > version or agents_changed
+
         with self.replica.changed:
-            self.replica.changed.wait_for(
-                lambda: machine.state.version > version or self.directory.version != agents_version,
-                timeout=timeout_s,
-            )
+            self.replica.changed.wait_for(changed, timeout=timeout_s)
--- a/lentilcourse/messages/state.py
+++ b/lentilcourse/messages/state.py
@@ -46,10 +46,14 @@
 @message
 @attrs.frozen(kw_only=True)
 class Subscribe:
-    """Ask for every version after `version`."""
+    """Ask for every version after `version`.
+
+    `digests` says that the subscriber understands `AgentDigest`; earlier builds get whole lists.
+    """
 
     name: str
     version: int
+    digests: bool = False
 
 
 @message
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -17,7 +17,7 @@
 from typing import Final
 
 from lentilcourse.clocks import MS_PER_S
-from lentilcourse.directory import AgentList, AgentNotice, Directory
+from lentilcourse.directory import AgentDigest, AgentList, AgentListRequest, AgentNotice, Directory
 from lentilcourse.errors import SettingsError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
@@ -37,6 +37,9 @@
 from lentilcourse.streams import Identity, Stream, connect_stream
 
 REPORT_INTERVAL_S: Final = 0.4
+"""Interval of reports that renew a target's lease."""
+NOTICE_INTERVAL_S: Final = 1.5
+"""Interval of reports without a lease; a change of a directory record is reported at once."""
 MAX_FRESHNESS_S: Final = 2.0
 RETRY_DELAY_S: Final = 0.1
 RELAY_TURN_S: Final = 3.0
@@ -90,7 +93,7 @@
         """Return no controllers: a copy passes the state on alone."""
         return None
 
-    def wait_after(self, version: int, agents_version: int, timeout_s: float) -> None:
+    def wait_after(self, version: int, agents_version: int | None, timeout_s: float) -> None:
         """Wait until there is a version after `version`, at most `timeout_s`."""
         with self._changed:
             self._changed.wait_for(lambda: self.current.version > version, timeout=timeout_s)
@@ -231,7 +234,8 @@
         began = time.monotonic()
         _log.info("source_connected", source=stream.peer, version=self._copy.current.version)
         try:
-            stream.send(Subscribe(name=self._identity.name, version=self._copy.current.version))
+            version = self._copy.current.version
+            stream.send(Subscribe(name=self._identity.name, version=version, digests=True))
             self._stream = stream
             self.send_report()
             while not self._lifecycle.stopped.is_set() and time.monotonic() < until:
@@ -282,11 +286,22 @@
             self._directory.offer(msg.notices, time.monotonic())
         return True
 
+    @_take.register
+    def _take_digest(self, msg: AgentDigest) -> bool:
+        stream = self._stream
+        if self._directory is None or stream is None:
+            return True
+        if not self._directory.renew(msg, time.monotonic()):
+            _log.info("agents_differ", source=stream.peer)
+            stream.send(AgentListRequest())
+        return True
+
     @_take.register
     def _take_controllers(self, msg: ControllerList) -> bool:
         self._controllers.learn([parse_address(text) for text in msg.addresses])
         return True
 
     def _run_reports(self) -> None:
-        while not self._lifecycle.stopped.wait(timeout=REPORT_INTERVAL_S):
+        interval_s = REPORT_INTERVAL_S if self._directory is None else NOTICE_INTERVAL_S
+        while not self._lifecycle.stopped.wait(timeout=interval_s):
             self.send_report()
