Log many changed agents in one line

Change: more than three changed agents share one line, agents_changed, with their number and the first names.

--- a/lentilcourse/steering/membership.py
+++ b/lentilcourse/steering/membership.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Final
 
 import attrs
 
@@ -21,6 +22,10 @@
     seeded_controllers,
 )
 
+MAX_AGENT_LINES: Final = 3
+"""Changed agents that get a line each."""
+MAX_NAMES: Final = 16
+
 _log = get_logger(__name__)
 
 
@@ -53,12 +58,22 @@
                 )
 
     def on_agents(self, records: tuple[AgentRecord, ...]) -> None:
-        """Log the changes of the agent records."""
+        """Log the changes of the agent records; many at once share a line."""
         known, self._agents = self._agents, {record.name: record for record in records}
-        for name, record in self._agents.items():
-            if record != known.get(name):
-                _log.info("agent_known", agent=name, state=record.state, service=record.service)
-        for name in known.keys() - self._agents.keys():
+        changed = [record for record in records if record != known.get(record.name)]
+        dropped = sorted(known.keys() - self._agents.keys())
+        if len(changed) + len(dropped) > MAX_AGENT_LINES:
+            _log.info(
+                "agents_changed",
+                known=len(changed),
+                dropped=len(dropped),
+                agents=len(self._agents),
+                names=[*(record.name for record in changed), *dropped][:MAX_NAMES],
+            )
+            return
+        for record in changed:
+            _log.info("agent_known", agent=record.name, state=record.state, service=record.service)
+        for name in dropped:
             _log.info("agent_dropped", agent=name, state=known[name].state)
 
 
--- a/lentilcourse/story.py
+++ b/lentilcourse/story.py
@@ -21,6 +21,7 @@
     {
         "agent_dropped",
         "agent_known",
+        "agents_changed",
         "catalogue_in_force",
         "domain_state",
         "group_founded",
