Place flows near and at idle targets; ask for owners by small datagrams

Change: the balancer chooses among the flow's first two candidates of its own domain, and looks at other domains only if both have more than one request for each slot; an agent without a recent report counts with the mean load. The agent knows its own queue: if its slots are taken it passes the opening packet on to the next candidates of its domain, five times at most, and if all are busy the one with the shortest expected wait accepts. No state for pairs of processes, one datagram a hop; a flow has one owner as before, since only the accepting agent delivers. The owner stays among the candidates that a lookup asks: six of the own domain and two others, now by a query of 19 bytes instead of copies of the packet, so a lookup costs a balancer's link hardly more than one packet. Agents of earlier builds get no passed packets (`takes_passed` in their record).

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -8,6 +8,10 @@
       | steering.open_flow_keeps_its_target             |
       | steering.wrong_tries_are_few                    |
       | steering.lookup_loses_no_packet                 |
+      | steering.lookup_sends_a_packet_once             |
+      | placement.busy_targets_are_left_out             |
+      | placement.high_load_waits_little                |
+      | placement.shifted_callers_reach_other_domains   |
       | steering.reset_by_another_target_ends_no_flow   |
       | steering.nobody_holds_is_reset                  |
       | steering.no_reset_while_an_agent_is_missing     |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -18,6 +18,7 @@
     "steering",
     "steering_load",
     "placement",
+    "placement_load",
     "directory",
     "platform",
     "formation",
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -438,7 +438,7 @@
     Replies are delayed, as on a congested link: without rate limiting, each packet would be
     broadcast to every agent and add to the congestion.
     """
-    world = SteeringWorld(agents=6, balancers=2, seed=seed)
+    world = SteeringWorld(agents=12, balancers=2, seed=seed)
     holder = world.open_flow(1, "b1")
     taken = len(holder.received)
     balancer = world.balancers["b2"]
@@ -471,6 +471,23 @@
     assert counts.notices - notices <= LOOKUP_CANDIDATES
 
 
+@prop("steering.lookup_sends_a_packet_once")
+@given(st.integers(0, 1000), st.booleans())
+def check_lookup_bytes(seed, held):
+    """A lookup sends a caller's packet to one agent, and only a few bytes to the others.
+
+    Three copies of large packets for each flow of a balancer that stops fill the links of those
+    that take its flows over (hundreds of machines, links of 1.5 Mbit/s).
+    """
+    world = SteeringWorld(agents=40, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    if not held:
+        world.restart_target(holder.agent)
+    raw = packet(caller(1), FLAG_ACK, b"G" * 1200, ack=5)
+    world.send("b2", raw)
+    assert world.balancers["b2"].counts.lookup_bytes <= 1.2 * len(raw)
+
+
 @prop("steering.search_ends_once_all_agents_are_known")
 @given(st.integers(0, 1000), st.booleans())
 def check_late_completeness(seed, planned):
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -85,7 +85,7 @@
 class SteeringWorld:
     """Simulated system; agents are named "a1", "a2" etc., balancers "b1", "b2" etc."""
 
-    def __init__(self, agents=3, balancers=2, seed=1, service="board", cold_rate=0.0):
+    def __init__(self, agents=3, balancers=2, seed=1, service="board", cold_rate=0.0, domains=3):
         self.now = 100.0
         self.delivery_s = STEP_S / 10
         self.format = PlatformPackets()
@@ -108,9 +108,10 @@
                 name=name,
                 address=Address(host=f"10.0.0.{number}", port=1),
                 service=service,
-                domain=f"d{number % 3}",
+                domain=f"d{number % domains}",
                 state=STATE_SERVING,
                 slots=1,
+                takes_passed=True,
             )
             self.targets[name] = FakeTarget(agent=name)
             self.start_agent(name)
@@ -179,7 +180,7 @@
         for known in self.directories:
             self.refresh_directory(known)
 
-    def start_balancer(self, name):
+    def start_balancer(self, name, domain="d0"):
         """Start a balancer without hints."""
         self.balancers[name] = BalancerFlows(
             packet_format=self.format,
@@ -187,7 +188,7 @@
             peers=self._new_peers(name),
             state=lambda: self.state,
             own_address=(f"10.1.0.{name[1:]}", 1),
-            domain="d0",
+            domain=domain,
             to_peer=lambda flow, datagram, to: self._send_from_balancer(name, flow, datagram, to),
             to_caller=lambda raw, to: self.to_callers.append(raw),
             caller_port=CALLER_PORT,
@@ -288,7 +289,7 @@
             return
         if to[0].startswith("10.1."):
             name = f"b{to[0].rsplit('.', 1)[1]}"
-            if decode_kind(datagram) in (Kind.OWNER, Kind.LOAD, Kind.DENIAL):
+            if decode_kind(datagram) in (Kind.OWNER, Kind.LOAD, Kind.DENIAL, Kind.REPLY):
                 self.balancers[name].on_notice(datagram, self.now)
             return
         name = f"a{to[0].rsplit('.', 1)[1]}"
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -48,6 +48,8 @@
         state: whether its target takes new flows (serving), keeps old ones (draining), or there
             is none (idle). A gone agent has ended as planned; its record is dropped.
         slots: requests that the target runs at once.
+        takes_passed: whether the agent understands opening packets that busy agents pass on; not
+            so in earlier builds.
     """
 
     name: str
@@ -56,6 +58,7 @@
     domain: str
     state: str
     slots: int
+    takes_passed: bool = False
 
 
 @message
@@ -219,5 +222,6 @@
         record.domain,
         record.state,
         str(record.slots),
+        str(record.takes_passed),
     )
     return xxh3_64_intdigest("\0".join(values).encode())
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import threading
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -22,8 +23,9 @@
     cold_openings,
     entry_allows,
 )
-from lentilcourse.steering.candidates import next_candidate
+from lentilcourse.steering.candidates import MAX_BUSY_HOPS, next_candidate
 from lentilcourse.steering.datagrams import (
+    BusyAgent,
     DenialNotice,
     Envelope,
     FlowQuery,
@@ -34,11 +36,13 @@
     Send,
     decode_envelope,
     decode_kind,
+    decode_passed,
     decode_query,
     decode_reply,
     encode_denial,
     encode_envelope,
     encode_owner,
+    encode_passed,
     encode_reply,
     flow_text,
     service_key,
@@ -48,20 +52,22 @@
 from lentilcourse.steering.load_meter import LoadMeter
 from lentilcourse.steering.owner_searches import OwnerSearches
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
-from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.routes import Routes
 from lentilcourse.steering.target_watch import TargetWatch
 
-MAX_HOPS: Final = 6
+MAX_HOPS: Final = 12
 """Maximum number of times an opening packet is forwarded before the flow is refused."""
 LOAD_NOTICE_PERIOD_S: Final = 3.0
 """Time after a balancer's last packet during which it is sent load notices."""
 FIRST_ANNOUNCEMENT_TIMEOUT_S: Final = 2.5
 """Time after process start without an announcement after which the agent assumes that it has
 no target: twice the longest announcement interval."""
-PLACED_KINDS: Final = frozenset((Kind.OPEN, Kind.CARRY))
+PLACED_KINDS: Final = frozenset((Kind.OPEN, Kind.PASSED, Kind.CARRY))
 """Datagrams whose balancer is sent load notices. Lookups reach agents that the balancer does not
 use otherwise."""
+FIRST_REQUEST_S: Final = 0.05
+"""Time within which a caller sends the first request on a flow that it has opened."""
 HOP_BITS: Final = 4
 HOP_MASK: Final = (1 << HOP_BITS) - 1
 
@@ -116,6 +122,7 @@
         self._started_at = now
         self._flows: dict[bytes, FlowRecord] = {}
         self._denials = DenialMemory()
+        self._recent_openings: deque[tuple[float, bytes]] = deque()
         self._balancers: dict[tuple[str, int], float] = {}
         self._searches = OwnerSearches(
             own_address=limits.own_address,
@@ -145,12 +152,15 @@
                 self._searches.on_reply(decode_reply(datagram), now)
             return
         envelope, raw = decode_envelope(datagram)
+        least_busy = None
+        if kind is Kind.PASSED:
+            least_busy, raw = decode_passed(raw)
         packet = self._format.read_caller(raw)
         with self._lock:
             if envelope.kind in PLACED_KINDS:
                 self._balancers[envelope.balancer] = now
-            if envelope.kind is Kind.OPEN:
-                self._on_open(envelope, packet, now)
+            if envelope.kind in (Kind.OPEN, Kind.PASSED):
+                self._on_open(envelope, packet, least_busy, now)
             elif envelope.kind is Kind.CARRY:
                 self._on_carry(envelope, packet, now)
             elif envelope.kind is Kind.SEEK:
@@ -158,7 +168,13 @@
             elif envelope.kind is Kind.SEARCH:
                 self._on_search(envelope, packet, now)
 
-    def _on_open(self, envelope: Envelope, packet: FlowPacket, now: float) -> None:
+    def _on_open(
+        self,
+        envelope: Envelope,
+        packet: FlowPacket,
+        least_busy: BusyAgent | None,
+        now: float,
+    ) -> None:
         record = self._flows.get(packet.flow)
         if (
             record is not None
@@ -173,7 +189,10 @@
         if decline is not None:
             self._forward_opening(envelope, packet, decline)
             return
+        if self._passes_on(envelope, packet, least_busy, now):
+            return
         self._create_record(packet.flow, FlowState.OFFERED, envelope.balancer, now)
+        self._recent_openings.append((now, packet.flow))
         self.counts.opened += 1
         self._log_accepted_flow(envelope, packet, now)
         self._deliver(packet, envelope)
@@ -200,10 +219,70 @@
             return Decline.COLD
         return None
 
+    def _passes_on(
+        self,
+        envelope: Envelope,
+        packet: FlowPacket,
+        least_busy: BusyAgent | None,
+        now: float,
+    ) -> bool:
+        """Pass an opening packet on if all slots of the target are taken; returns whether it did.
+
+        It goes to the next candidates of the domain in turn. If all of them are busy, the least
+        busy one accepts the flow.
+        """
+        if envelope.hops > MAX_BUSY_HOPS:
+            return False
+        taken = self._taken_slots(now)
+        if taken < 1.0:
+            return False
+        own = BusyAgent(wait_s=taken * self.meter.service_s, address=self._limits.own_address)
+        if least_busy is None or own.wait_s < least_busy.wait_s:
+            least_busy = own
+        peer = self._next_in_domain(envelope, packet) if envelope.hops < MAX_BUSY_HOPS else None
+        if peer is not None:
+            hops, address = envelope.hops + 1, peer.address
+        elif least_busy is not own:
+            hops, address = MAX_BUSY_HOPS + 1, least_busy.address
+        else:
+            return False
+        self.counts.passed_busy += 1
+        raw = self._format.stamped(packet, 0)
+        passed = attrs.evolve(envelope, kind=Kind.PASSED, hops=hops)
+        self._outputs.to_peer(encode_passed(passed, least_busy, raw), address)
+        return True
+
+    def _next_in_domain(self, envelope: Envelope, packet: FlowPacket) -> Peer | None:
+        """Return the next candidate of this agent's domain, None if all have been asked."""
+        domain = self._limits.domain
+        serving = self._peers.table().serving.get(envelope.service, ())
+        near = [peer for peer in serving if peer.domain == domain and peer.takes_passed]
+        if envelope.hops + 1 >= len(near):
+            return None
+        return next_candidate(packet.flow, self._limits.own_address, near)
+
+    def _taken_slots(self, now: float) -> float:
+        """Return requests in flight, and flows about to send their first one, for each slot."""
+        while self._recent_openings and now - self._recent_openings[0][0] > FIRST_REQUEST_S:
+            self._recent_openings.popleft()
+        expected = 0
+        for _, flow in self._recent_openings:
+            record = self._flows.get(flow)
+            expected += record is not None and not record.requested_at
+        return (self.meter.in_flight + expected) / self._slots()
+
+    def _slots(self) -> int:
+        """Return the number of requests that the target processes concurrently, at least 1."""
+        report = self._watch.report
+        return max(1, report.slots) if report is not None else 1
+
     def _forward_opening(self, envelope: Envelope, packet: FlowPacket, decline: Decline) -> None:
         hops = envelope.hops + 1
         candidates = self._peers.table().serving.get(envelope.service, ())
-        peer = next_candidate(packet.flow, self._limits.own_address, candidates)
+        near = [peer for peer in candidates if peer.domain == self._limits.domain]
+        if hops > MAX_BUSY_HOPS or len(near) <= 1:
+            near = list(candidates)
+        peer = next_candidate(packet.flow, self._limits.own_address, near)
         if peer is None or hops > MAX_HOPS:
             self._refuse(envelope, packet, decline)
             return
@@ -337,6 +416,7 @@
             record.awaiting_answer = True
             record.requested_at = now
             self.meter.change(1, now)
+            record.served_at_once = self.meter.in_flight <= self._slots()
 
     def _deliver(self, packet: FlowPacket, envelope: Envelope) -> None:
         stamp = (envelope.kind << HOP_BITS) | min(envelope.hops, HOP_MASK)
@@ -374,6 +454,8 @@
             record.awaiting_answer = False
             self.answers.observe(now - record.requested_at)
             self.meter.change(-1, now)
+            if record.served_at_once:
+                self.meter.observe_service(now - record.requested_at)
         if packet.closing or packet.resetting:
             record.target_closed = True
         self.counts.answered += 1
@@ -455,8 +537,7 @@
 
     def load(self, now: float) -> float:
         """Return the load of the target."""
-        report = self._watch.report
-        return self.meter.load(report.slots if report is not None else 1, now)
+        return self.meter.load(self._slots(), now)
 
     def send_load_notices(self, now: float) -> None:
         """Send the load to all balancers that have recently sent packets."""
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -120,6 +120,7 @@
                 domain=self._process.domain,
                 state=self._target_state(time.monotonic()),
                 slots=report.slots if report is not None else 0,
+                takes_passed=True,
             )
         )
 
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -17,15 +17,17 @@
 from lentilcourse.logs import get_logger
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
-    DenialNotice,
     Envelope,
+    FlowReply,
     FlowSend,
     Kind,
     OwnerNotice,
+    Possession,
     Send,
     decode_denial,
     decode_kind,
     decode_owner,
+    decode_reply,
     encode_envelope,
     flow_text,
 )
@@ -105,6 +107,7 @@
         self._hints: dict[bytes, OwnerHint] = {}
         self._lookups = OwnerLookups(
             own_address=own_address,
+            domain=domain,
             peers=peers,
             routes=self._routes,
             to_peer=to_peer,
@@ -136,15 +139,19 @@
     def on_notice(self, datagram: bytes, now: float) -> None:
         """Handle a notice from an agent; raises `PacketError` if it is malformed."""
         self.counts.notices += 1
-        if decode_kind(datagram) is Kind.DENIAL:
+        kind = decode_kind(datagram)
+        if kind is Kind.DENIAL:
+            denial = decode_denial(datagram)
             with self._lock:
-                self._on_denial(decode_denial(datagram), now)
-            return
-        notice = decode_owner(datagram)
-        with self._lock:
-            self.loads.record_report(notice.owner, notice.load, now)
-            if notice.flow:
-                self._record_owner(notice, now)
+                self._on_denial(denial.flow, denial.agent, now)
+        elif kind is Kind.REPLY:
+            reply = decode_reply(datagram)
+            with self._lock:
+                self._on_reply(reply, now)
+        else:
+            notice = decode_owner(datagram)
+            with self._lock:
+                self._on_owner(notice, now)
 
     def sweep(self, now: float) -> None:
         """Remove the hints of idle flows and abandoned lookups."""
@@ -209,25 +216,41 @@
         )
         self._to_peer(packet.flow, encode_envelope(envelope, packet.raw), owner)
 
-    def _record_owner(self, notice: OwnerNotice, now: float) -> None:
-        self._lookups.finish(notice.flow, notice.owner, now)
-        hint = self._hints.get(notice.flow)
+    def _on_owner(self, notice: OwnerNotice, now: float) -> None:
+        self.loads.record_report(notice.owner, notice.load, now)
+        if notice.flow:
+            self._record_owner(notice.flow, notice.owner, now)
+
+    def _on_reply(self, reply: FlowReply, now: float) -> None:
+        """Handle an agent's answer about flows without a known owner.
+
+        An agent that is unsure may own the flow; an agent that searches for it will try it.
+        """
+        for flow, possession in reply.answers.items():
+            if possession is Possession.HOLDS:
+                self._record_owner(flow, reply.agent, now)
+            else:
+                self._on_denial(flow, reply.agent, now)
+
+    def _record_owner(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
+        self._lookups.finish(flow, owner, now)
+        hint = self._hints.get(flow)
         if hint is None:
-            self._hints[notice.flow] = OwnerHint(
-                owner=notice.owner, confirmed=True, offered_at=now, last_packet_at=now
+            self._hints[flow] = OwnerHint(
+                owner=owner, confirmed=True, offered_at=now, last_packet_at=now
             )
             return
-        if hint.owner != notice.owner:
-            _log.info("flow_owner_moved", flow=flow_text(notice.flow), owner=notice.owner[0])
-        hint.owner = notice.owner
+        if hint.owner != owner:
+            _log.info("flow_owner_moved", flow=flow_text(flow), owner=owner[0])
+        hint.owner = owner
         hint.confirmed = True
 
-    def _on_denial(self, notice: DenialNotice, now: float) -> None:
+    def _on_denial(self, flow: bytes, agent: tuple[str, int], now: float) -> None:
         """Forget a hint whose agent denies the flow, and continue a pending lookup."""
-        hint = self._hints.get(notice.flow)
-        if hint is not None and hint.owner == notice.agent:
-            del self._hints[notice.flow]
-        self._lookups.on_denial(notice, now)
+        hint = self._hints.get(flow)
+        if hint is not None and hint.owner == agent:
+            del self._hints[flow]
+        self._lookups.on_denial(flow, agent, now)
 
     def _refuse(self, packet: FlowPacket, reason: str, certain: bool) -> None:
         """Refuse a new flow.
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -18,6 +18,7 @@
 from xxhash import xxh3_64_digest
 
 from lentilcourse import error_texts
+from lentilcourse.clocks import MS_PER_S
 from lentilcourse.errors import PacketError
 from lentilcourse.options import Address
 
@@ -29,9 +30,11 @@
 HEADER: Final = struct.Struct(">BB4sHQ8s")
 OWNER: Final = struct.Struct(">H12s4sH")
 DENIAL: Final = struct.Struct(">12s4sH")
+PASSED: Final = struct.Struct(">H4sH")
 QUERY_HEADER: Final = struct.Struct(">B4sH")
 LOAD_SCALE: Final = 1000
 MAX_LOAD: Final = 65.0
+MAX_WAIT_S: Final = 65.0
 FLOW_BYTES: Final = 12
 MAX_FLOWS_PER_QUERY: Final = 90
 """Flows of one query; the reply about them fits an Ethernet frame."""
@@ -49,8 +52,9 @@
     DENIAL: the target of the sender does not hold the flow (agent to balancer).
     SEARCH: packet of a flow that none of its first candidates owns: the agent finds the owner or
         resets the flow (balancer to agent).
-    QUERY: asks whether the receiver's target holds some flows (agent to agent).
-    REPLY: answers a query (agent to agent).
+    QUERY: asks whether the receiver's target holds some flows (balancer or agent to agent).
+    REPLY: answers a query (agent to balancer or agent).
+    PASSED: opening packet that a busy agent passes on (agent to agent).
 
     7 is not used again: earlier versions send it to all agents.
     """
@@ -64,6 +68,7 @@
     SEARCH = 8
     QUERY = 9
     REPLY = 10
+    PASSED = 11
 
 
 KINDS: Final = {kind.value: kind for kind in Kind}
@@ -108,6 +113,19 @@
     agent: tuple[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class BusyAgent:
+    """The least busy agent that has passed an opening packet on.
+
+    Attributes:
+        wait_s: time that a request is expected to wait there.
+        address: its peer address.
+    """
+
+    wait_s: float
+    address: tuple[str, int]
+
+
 class Possession(enum.IntEnum):
     """An agent's answer to the question whether its target holds a flow.
 
@@ -125,7 +143,7 @@
 
 @attrs.frozen(kw_only=True)
 class FlowQuery:
-    """A question of the agent at `searcher` about flows, given by their keys."""
+    """A question of the balancer or agent at `searcher` about flows, given by their keys."""
 
     searcher: tuple[str, int]
     flows: tuple[bytes, ...]
@@ -212,6 +230,22 @@
     return envelope, datagram[HEADER.size :]
 
 
+def encode_passed(envelope: Envelope, least_busy: BusyAgent, raw: bytes) -> bytes:
+    """Encode an opening packet that a busy agent passes on."""
+    wait_ms = int(min(least_busy.wait_s, MAX_WAIT_S) * MS_PER_S)
+    host, port = least_busy.address
+    return encode_envelope(envelope, PASSED.pack(wait_ms, pack_host(host), port) + raw)
+
+
+def decode_passed(body: bytes) -> tuple[BusyAgent, bytes]:
+    """Decode what follows the header of a passed packet; raises `PacketError`."""
+    if len(body) < PASSED.size:
+        raise PacketError(error_texts.PACKET_SHORT.format(size=len(body)))
+    wait_ms, host, port = PASSED.unpack_from(body)
+    least_busy = BusyAgent(wait_s=wait_ms / MS_PER_S, address=(unpack_host(host), port))
+    return least_busy, body[PASSED.size :]
+
+
 def encode_owner(notice: OwnerNotice) -> bytes:
     """Encode an owner or load notice."""
     kind = Kind.OWNER if notice.flow else Kind.LOAD
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -38,6 +38,7 @@
         last_packet_at: time of the last packet.
         awaiting_answer: whether a request is waiting for the target's answer.
         requested_at: time of the first data of that request.
+        served_at_once: whether it found a free slot.
         caller_closed: whether the caller has closed its side.
         target_closed: whether the target has closed its side.
         from_lookup: whether an owner lookup created the record and its target has not answered.
@@ -50,6 +51,7 @@
     last_packet_at: float
     awaiting_answer: bool = False
     requested_at: float = 0.0
+    served_at_once: bool = False
     caller_closed: bool = False
     target_closed: bool = False
     from_lookup: bool = False
@@ -63,6 +65,7 @@
     delivered: int = 0
     answered: int = 0
     passed_on: int = 0
+    passed_busy: int = 0
     refused: int = 0
     returned: int = 0
     sought: int = 0
--- a/lentilcourse/steering/load_meter.py
+++ b/lentilcourse/steering/load_meter.py
@@ -13,16 +13,22 @@
 """Weight of the current number of requests in flight, which takes effect immediately. It is below 1
 because a single additional request does not make a queue."""
 
+SERVICE_WEIGHT: Final = 0.1
+"""Weight of the latest request in the average service time."""
+
 
 class LoadMeter:
-    """Smoothed number of requests in flight per slot.
+    """Smoothed number of requests in flight per slot, and their service time.
 
     Attributes:
         in_flight: requests that are currently waiting for the target's answer.
+        service_s: average time of requests that found a free slot; 1 before the first.
     """
 
     def __init__(self, *, now: float) -> None:
         self.in_flight = 0
+        self.service_s = 1.0
+        self._observed = False
         self._in_flight_seconds = 0.0
         self._updated_at = now
         self._sample_started_at = now
@@ -33,6 +39,12 @@
         self._advance(now)
         self.in_flight = max(0, self.in_flight + difference)
 
+    def observe_service(self, seconds: float) -> None:
+        """Record the time of a request that found a free slot."""
+        weight = SERVICE_WEIGHT if self._observed else 1.0
+        self.service_s += weight * (seconds - self.service_s)
+        self._observed = True
+
     def load(self, slots: int, now: float) -> float:
         """Return the load in requests in flight per slot.
 
--- a/lentilcourse/steering/owner_lookups.py
+++ b/lentilcourse/steering/owner_lookups.py
@@ -1,13 +1,14 @@
 """Owner lookups of a balancer: packets of flows whose owner it does not know.
 
-The first packet goes to the flow's first candidates. If all of them deny the flow, or none has
-answered when a later packet arrives, one agent is asked to search for the owner, because agents
-have faster links than balancers. The datagrams that a balancer sends for an unknown flow thus do
-not grow with the number of agents.
+The flow's first candidates are asked by a small datagram whether they own it, while its packets are
+buffered. If none of them does, or none has answered when a later packet arrives, one agent gets the
+packet and searches for the owner, because agents have faster links than balancers. What a balancer
+sends for an unknown flow thus does not grow with the number of agents, and hardly with its packets.
 """
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 import attrs
@@ -15,13 +16,19 @@
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
-from lentilcourse.steering.candidates import flow_candidates
+from lentilcourse.steering.candidates import (
+    FAR_LOOKUPS,
+    NEAR_LOOKUPS,
+    flow_candidates,
+    lookup_candidates,
+)
 from lentilcourse.steering.datagrams import (
-    DenialNotice,
     Envelope,
+    FlowQuery,
     FlowSend,
     Kind,
     encode_envelope,
+    encode_query,
     flow_text,
 )
 from lentilcourse.steering.flow_records import BalancerFlowCounts, remove_outdated
@@ -29,9 +36,8 @@
 from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.routes import Routes
 
-LOOKUP_CANDIDATES: Final = 3
-"""Candidates that are asked first. Placement uses the first two; the third covers an agent that
-has joined since and precedes the owner."""
+LOOKUP_CANDIDATES: Final = NEAR_LOOKUPS + FAR_LOOKUPS
+"""Candidates that are asked first."""
 LOOKUP_RETRY_S: Final = 0.15
 """Interval between the first and second attempt, doubled after each further one. It spans many
 round trips but is shorter than a caller's first retransmission timeout."""
@@ -40,7 +46,7 @@
 LOOKUP_LIFE_S: Final = 5.0
 """Time after the last attempt after which a lookup is discarded."""
 MAX_BUFFERED_PACKETS: Final = 16
-"""Packets of a flow that are buffered during a lookup: as many as an endpoint has in flight."""
+"""Packets that are buffered after the first one: as many as an endpoint has in flight."""
 
 _log = get_logger(__name__)
 
@@ -56,8 +62,8 @@
         retry_interval_s: minimum time until the next attempt.
         searches: number of agents that were asked to search.
         asked: addresses of the candidates that were asked.
-        denied: addresses of the agents that have denied the flow.
-        buffered: packets buffered since the first attempt, in order of arrival.
+        answered: addresses of the agents that have said that they do not know to own the flow.
+        buffered: packets that no agent has got yet, in order of arrival.
     """
 
     packet: FlowPacket
@@ -66,7 +72,7 @@
     retry_interval_s: float = LOOKUP_RETRY_S
     searches: int = 0
     asked: frozenset[tuple[str, int]] = frozenset()
-    denied: set[tuple[str, int]] = attrs.field(factory=set)
+    answered: set[tuple[str, int]] = attrs.field(factory=set)
     buffered: list[bytes] = attrs.field(factory=list)
 
 
@@ -81,18 +87,20 @@
         self,
         *,
         own_address: tuple[str, int],
+        domain: str,
         peers: Peers,
         routes: Routes,
         to_peer: FlowSend,
         counts: BalancerFlowCounts,
     ) -> None:
         self.latency = LatencyHistogram()
+        self._own_address = own_address
+        self._domain = domain
         self._peers = peers
         self._routes = routes
         self._to_peer = to_peer
         self._counts = counts
         self._carry_header = _header(Kind.CARRY, own_address)
-        self._seek_header = _header(Kind.SEEK, own_address)
         self._search_header = _header(Kind.SEARCH, own_address)
         self._pending: dict[bytes, Lookup] = {}
 
@@ -102,21 +110,22 @@
         if lookup is None:
             self._ask_candidates(packet, now)
         elif now - lookup.last_sent_at < lookup.retry_interval_s:
-            if len(lookup.buffered) < MAX_BUFFERED_PACKETS:
+            if len(lookup.buffered) <= MAX_BUFFERED_PACKETS:
                 lookup.buffered.append(packet.raw)
         else:
             lookup.packet = packet
+            lookup.buffered.clear()
             lookup.retry_interval_s = min(2 * lookup.retry_interval_s, MAX_LOOKUP_RETRY_S)
             self._search(lookup, now)
 
-    def on_denial(self, notice: DenialNotice, now: float) -> None:
-        """Ask for a search once all candidates have denied a flow."""
-        lookup = self._pending.get(notice.flow)
+    def on_denial(self, flow: bytes, agent: tuple[str, int], now: float) -> None:
+        """Ask for a search once no asked candidate knows to own a flow."""
+        lookup = self._pending.get(flow)
         if lookup is None or lookup.searches:
             return
-        lookup.denied.add(notice.agent)
-        if lookup.asked <= lookup.denied:
-            self._send_search(lookup, notice.agent, now)
+        lookup.answered.add(agent)
+        if lookup.asked <= lookup.answered:
+            self._send_search(lookup, agent, now)
 
     def finish(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
         """Complete a lookup and send the buffered packets to the owner unless they are too old."""
@@ -142,23 +151,26 @@
         remove_outdated(self._pending, lambda lookup: now - lookup.last_sent_at > LOOKUP_LIFE_S)
 
     def _ask_candidates(self, packet: FlowPacket, now: float) -> None:
-        candidates = self._candidates(packet, LOOKUP_CANDIDATES)
+        candidates = lookup_candidates(packet.flow, self._holders(packet), self._domain)
         self._pending[packet.flow] = Lookup(
             packet=packet,
             started_at=now,
             last_sent_at=now,
             asked=frozenset(peer.address for peer in candidates),
+            buffered=[packet.raw],
         )
         self._counts.sought += 1
         _log.info(
             "flow_sought", flow=flow_text(packet.flow), asked=[peer.name for peer in candidates]
         )
+        query = encode_query(FlowQuery(searcher=self._own_address, flows=(packet.flow,)))
         for peer in candidates:
-            self._send(packet.flow, self._seek_header + packet.raw, peer.address)
+            self._send(packet.flow, query, peer.address)
 
     def _search(self, lookup: Lookup, now: float) -> None:
         """Ask the next candidate for a search, so that an agent that is down delays only one."""
-        candidates = self._candidates(lookup.packet, lookup.searches + 1)
+        flow, holders = lookup.packet.flow, self._holders(lookup.packet)
+        candidates = flow_candidates(flow, holders, lookup.searches + 1)
         if not candidates:
             lookup.last_sent_at = now
             return
@@ -172,24 +184,26 @@
             "flow_search_asked",
             flow=flow_text(lookup.packet.flow),
             searcher=searcher[0],
-            denied_by=len(lookup.denied),
+            denied_by=len(lookup.answered),
             searches=lookup.searches,
         )
         packet = lookup.packet
+        if packet.raw in lookup.buffered:
+            lookup.buffered.remove(packet.raw)
         self._send(packet.flow, self._search_header + packet.raw, searcher)
 
-    def _candidates(self, packet: FlowPacket, count: int) -> list[Peer]:
-        """Return the first candidates among the agents that may hold the flow.
+    def _holders(self, packet: FlowPacket) -> Sequence[Peer]:
+        """Return the agents that are asked about a flow.
 
-        Those of the service that new flows go to come first. Without any, the agents of the
-        entry's other services follow.
+        These are the agents of the service that new flows go to, or without any those of the
+        entry's other services.
         """
         route = self._routes.find(packet.entry)
         if route is None:
-            return []
+            return ()
         table = self._peers.table()
         holders = table.holders.get(route.service_for(packet.flow), ())
-        return flow_candidates(packet.flow, holders or table.holders_of(route.holder_keys), count)
+        return holders or table.holders_of(route.holder_keys)
 
     def _send(self, flow: bytes, datagram: bytes, address: tuple[str, int]) -> None:
         self._counts.lookup_copies += 1
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -29,6 +29,7 @@
         address: its peer address (host and port).
         domain: its failure domain.
         slots: number of requests that its target processes concurrently.
+        takes_passed: whether it understands opening packets that busy agents pass on.
         hash_key: bytes that stand for the agent in rendezvous hashing.
     """
 
@@ -36,6 +37,7 @@
     address: tuple[str, int]
     domain: str
     slots: int
+    takes_passed: bool = False
     hash_key: bytes = attrs.field(init=False)
 
     @hash_key.default
@@ -121,4 +123,5 @@
         address=record.address.pair(),
         domain=record.domain,
         slots=record.slots,
+        takes_passed=record.takes_passed,
     )
--- a/lentilcourse/steering/placement.py
+++ b/lentilcourse/steering/placement.py
@@ -15,11 +15,13 @@
 
 LOAD_PER_OFFER: Final = 0.25
 """Estimated load of an offered flow until the next load report of its agent."""
-OTHER_DOMAIN_PENALTY: Final = 0.05
+OTHER_DOMAIN_PENALTY: Final = 0.5
 """Penalty for agents in other failure domains: a remote target is preferred only if its load is
 lower than that of a local one by more than this."""
+REPORT_WEIGHT: Final = 0.02
+"""Weight of a report in the mean load, which stands for agents without a recent report."""
 LOAD_REPORT_LIFE_S: Final = 2.0
-"""Age above which the load report of an agent is ignored."""
+"""Age above which the mean load replaces the load report of an agent."""
 OFFER_ANSWER_TIMEOUT_S: Final = 0.4
 """Time for which an offer may remain unanswered before its agent is avoided."""
 AVOIDANCE_PERIOD_S: Final = 2.0
@@ -46,14 +48,20 @@
 
 
 class AgentLoads:
-    """Loads of all agents by peer address."""
+    """Loads of all agents by peer address.
+
+    Attributes:
+        mean_load: moving average over the reports of all agents.
+    """
 
     def __init__(self) -> None:
+        self.mean_load = 0.0
         self._loads: dict[tuple[str, int], AgentLoad] = {}
 
     def record_report(self, address: tuple[str, int], load: float, now: float) -> None:
         """Record a load report of an agent."""
         agent_load = self.get(address)
+        self.mean_load += REPORT_WEIGHT * (load - self.mean_load)
         agent_load.load = load
         agent_load.reported_at = now
         agent_load.offers_since_report = 0
@@ -83,7 +91,8 @@
     def cost(self, peer: Peer, domain: str, now: float) -> float:
         """Return the estimated cost of placing a new flow at an agent; lower is better."""
         agent_load = self.get(peer.address)
-        load = agent_load.load if now - agent_load.reported_at <= LOAD_REPORT_LIFE_S else 0.0
+        is_recent = now - agent_load.reported_at <= LOAD_REPORT_LIFE_S
+        load = agent_load.load if is_recent else self.mean_load
         domain_penalty = 0.0 if peer.domain == domain else OTHER_DOMAIN_PENALTY
         return (
             load
