Let an agent search for the owner of an unknown flow at once

Cause: after power losses and restarts the balancers are what is slow (0.12 of a core, links of 1.5 Mbit/s), and each unknown flow cost them a query to eight agents, or before that three copies of a packet, and as many answers.

Change: a balancer sends the packet to the flow's first candidate, which delivers it or searches: first the candidates at which the flow may have been placed, at most one datagram to each agent in 0.02 s, then all agents as before. One datagram and one notice for a balancer. A candidate that does not answer delays one attempt, as before. A search that was given up is begun anew by the next packet also before the next tick.

Measured: steering.dead_flow_costs_a_balancer_few_datagrams now holds at one datagram and no notice (before: four and three), unsure agents cost the balancer no notice (before: up to three); the bound on bytes of a lookup holds.

--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -289,7 +289,7 @@
             return
         if to[0].startswith("10.1."):
             name = f"b{to[0].rsplit('.', 1)[1]}"
-            if decode_kind(datagram) in (Kind.OWNER, Kind.LOAD, Kind.DENIAL, Kind.REPLY):
+            if decode_kind(datagram) in (Kind.OWNER, Kind.LOAD, Kind.DENIAL):
                 self.balancers[name].on_notice(datagram, self.now)
             return
         name = f"a{to[0].rsplit('.', 1)[1]}"
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -126,6 +126,7 @@
         self._balancers: dict[tuple[str, int], float] = {}
         self._searches = OwnerSearches(
             own_address=limits.own_address,
+            domain=limits.domain,
             peers=peers,
             routes=self._routes,
             to_peer=outputs.to_peer,
@@ -568,6 +569,10 @@
         with self._lock:
             self._searches.run_round(now)
 
+    def wait_for_search(self, timeout_s: float) -> bool:
+        """Wait until a search waits for `search_owners`; returns whether one does."""
+        return self._searches.waiting.wait(timeout=timeout_s)
+
     def _remove_record(self, flow: bytes, now: float) -> FlowRecord | None:
         record = self._flows.pop(flow, None)
         if record is not None and record.awaiting_answer:
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -25,6 +25,7 @@
 from lentilcourse.steering.agent_flows import AgentFlows, AgentOutputs
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import SystemView, create_system_view
+from lentilcourse.steering.owner_searches import FIRST_ROUND_INTERVAL_S
 from lentilcourse.steering.packet_format import PACKET_FORMATS
 from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 from lentilcourse.steering.traffic_log import TrafficLog
@@ -38,6 +39,7 @@
 enough to detect a silent controller and connect to another, and shorter than the time allowed for
 a planned stop."""
 DEPARTURE_POLL_S: Final = 0.05
+SEARCH_POLL_S: Final = 1.0
 
 _log = get_logger(__name__)
 
@@ -103,10 +105,11 @@
 
     def start(self) -> None:
         """Start the tasks of the agent."""
-        tasks = self._lifecycle.pool(name="steering", limit=3)
+        tasks = self._lifecycle.pool(name="steering", limit=4)
         tasks.submit(lambda: self.peer_loop.run(self.flows.on_peer))
         tasks.submit(lambda: self._target_loop.run(self.flows.on_target))
         tasks.submit(self._run_maintenance)
+        tasks.submit(self._run_searches)
         self.view.subscription.start()
 
     def notice(self) -> AgentNotice:
@@ -203,6 +206,13 @@
                 traffic_log.write()
                 self.view.directory.expire(now)
 
+    def _run_searches(self) -> None:
+        """Ask the first candidates of flows whose search could not begin at once."""
+        while not self._lifecycle.stopped.is_set():
+            if self.flows.wait_for_search(SEARCH_POLL_S):
+                time.sleep(FIRST_ROUND_INTERVAL_S)
+                self.flows.search_owners(time.monotonic())
+
 
 @ROLE_PLUGINS.register("steering-agent")
 def start_steering_agent(context: ProcessContext) -> None:
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -18,16 +18,13 @@
 from lentilcourse.model import State
 from lentilcourse.steering.datagrams import (
     Envelope,
-    FlowReply,
     FlowSend,
     Kind,
     OwnerNotice,
-    Possession,
     Send,
     decode_denial,
     decode_kind,
     decode_owner,
-    decode_reply,
     encode_envelope,
     flow_text,
 )
@@ -139,15 +136,10 @@
     def on_notice(self, datagram: bytes, now: float) -> None:
         """Handle a notice from an agent; raises `PacketError` if it is malformed."""
         self.counts.notices += 1
-        kind = decode_kind(datagram)
-        if kind is Kind.DENIAL:
+        if decode_kind(datagram) is Kind.DENIAL:
             denial = decode_denial(datagram)
             with self._lock:
-                self._on_denial(denial.flow, denial.agent, now)
-        elif kind is Kind.REPLY:
-            reply = decode_reply(datagram)
-            with self._lock:
-                self._on_reply(reply, now)
+                self._on_denial(denial.flow, denial.agent)
         else:
             notice = decode_owner(datagram)
             with self._lock:
@@ -221,17 +213,6 @@
         if notice.flow:
             self._record_owner(notice.flow, notice.owner, now)
 
-    def _on_reply(self, reply: FlowReply, now: float) -> None:
-        """Handle an agent's answer about flows without a known owner.
-
-        An agent that is unsure may own the flow; an agent that searches for it will try it.
-        """
-        for flow, possession in reply.answers.items():
-            if possession is Possession.HOLDS:
-                self._record_owner(flow, reply.agent, now)
-            else:
-                self._on_denial(flow, reply.agent, now)
-
     def _record_owner(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
         self._lookups.finish(flow, owner, now)
         hint = self._hints.get(flow)
@@ -245,12 +226,11 @@
         hint.owner = owner
         hint.confirmed = True
 
-    def _on_denial(self, flow: bytes, agent: tuple[str, int], now: float) -> None:
-        """Forget a hint whose agent denies the flow, and continue a pending lookup."""
+    def _on_denial(self, flow: bytes, agent: tuple[str, int]) -> None:
+        """Forget a hint whose agent denies the flow; that agent searches for the owner."""
         hint = self._hints.get(flow)
         if hint is not None and hint.owner == agent:
             del self._hints[flow]
-        self._lookups.on_denial(flow, agent, now)
 
     def _refuse(self, packet: FlowPacket, reason: str, certain: bool) -> None:
         """Refuse a new flow.
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -46,14 +46,14 @@
     OPEN: opening packet of a new flow, which the agent accepts or forwards to another agent.
     CARRY: packet of a flow that the receiving agent is presumed to own.
     SEEK: packet of a flow that the receiving agent may own: the owner delivers it and notifies the
-        balancer; all other agents reply with a denial.
+        balancer; all other agents reply with a denial. Balancers of earlier builds send it too.
     OWNER: the sender owns the flow (agent to balancer); also contains the sender's load.
     LOAD: load of the sender (agent to balancer).
     DENIAL: the target of the sender does not hold the flow (agent to balancer).
-    SEARCH: packet of a flow that none of its first candidates owns: the agent finds the owner or
-        resets the flow (balancer to agent).
-    QUERY: asks whether the receiver's target holds some flows (balancer or agent to agent).
-    REPLY: answers a query (agent to balancer or agent).
+    SEARCH: packet of a flow whose owner the balancer does not know: the agent delivers it, or finds
+        the owner, or resets the flow (balancer to agent).
+    QUERY: asks whether the receiver's target holds some flows (agent to agent).
+    REPLY: answers a query (agent to agent).
     PASSED: opening packet that a busy agent passes on (agent to agent).
 
     7 is not used again: earlier versions send it to all agents.
@@ -143,7 +143,7 @@
 
 @attrs.frozen(kw_only=True)
 class FlowQuery:
-    """A question of the balancer or agent at `searcher` about flows, given by their keys."""
+    """A question of the agent at `searcher` about flows, given by their keys."""
 
     searcher: tuple[str, int]
     flows: tuple[bytes, ...]
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -79,7 +79,7 @@
 class BalancerFlowCounts:
     """Packet counters of a balancer since its start.
 
-    `lookup_copies` and `lookup_bytes` count the datagrams that owner lookups sent.
+    `searches` and `lookup_bytes` count the datagrams of owner lookups and their bytes.
     """
 
     received: int = 0
@@ -87,7 +87,6 @@
     carried: int = 0
     sought: int = 0
     searches: int = 0
-    lookup_copies: int = 0
     lookup_bytes: int = 0
     replaced: int = 0
     unknown_entry: int = 0
--- a/lentilcourse/steering/owner_lookups.py
+++ b/lentilcourse/steering/owner_lookups.py
@@ -1,9 +1,9 @@
 """Owner lookups of a balancer: packets of flows whose owner it does not know.
 
-The flow's first candidates are asked by a small datagram whether they own it, while its packets are
-buffered. If none of them does, or none has answered when a later packet arrives, one agent gets the
-packet and searches for the owner, because agents have faster links than balancers. What a balancer
-sends for an unknown flow thus does not grow with the number of agents, and hardly with its packets.
+The first packet goes to the flow's first candidate, which delivers it if it owns the flow, and
+searches for the owner otherwise: agents have faster links and processors than balancers. Later
+packets are buffered. If no owner is known when a packet arrives after a while, the next candidate
+gets it. So an unknown flow costs a balancer one datagram, however many agents there are.
 """
 
 from __future__ import annotations
@@ -17,18 +17,13 @@
 from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
 from lentilcourse.steering.candidates import (
-    FAR_LOOKUPS,
-    NEAR_LOOKUPS,
-    flow_candidates,
     lookup_candidates,
 )
 from lentilcourse.steering.datagrams import (
     Envelope,
-    FlowQuery,
     FlowSend,
     Kind,
     encode_envelope,
-    encode_query,
     flow_text,
 )
 from lentilcourse.steering.flow_records import BalancerFlowCounts, remove_outdated
@@ -36,8 +31,6 @@
 from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.routes import Routes
 
-LOOKUP_CANDIDATES: Final = NEAR_LOOKUPS + FAR_LOOKUPS
-"""Candidates that are asked first."""
 LOOKUP_RETRY_S: Final = 0.15
 """Interval between the first and second attempt, doubled after each further one. It spans many
 round trips but is shorter than a caller's first retransmission timeout."""
@@ -46,7 +39,7 @@
 LOOKUP_LIFE_S: Final = 5.0
 """Time after the last attempt after which a lookup is discarded."""
 MAX_BUFFERED_PACKETS: Final = 16
-"""Packets that are buffered after the first one: as many as an endpoint has in flight."""
+"""Packets of a flow that are buffered: as many as an endpoint has in flight."""
 
 _log = get_logger(__name__)
 
@@ -60,10 +53,8 @@
         started_at: time of the flow's first packet without a known owner.
         last_sent_at: time of the last attempt.
         retry_interval_s: minimum time until the next attempt.
-        searches: number of agents that were asked to search.
-        asked: addresses of the candidates that were asked.
-        answered: addresses of the agents that have said that they do not know to own the flow.
-        buffered: packets that no agent has got yet, in order of arrival.
+        searches: number of candidates that have been asked.
+        buffered: packets that arrived since the last attempt, in order.
     """
 
     packet: FlowPacket
@@ -71,8 +62,6 @@
     last_sent_at: float
     retry_interval_s: float = LOOKUP_RETRY_S
     searches: int = 0
-    asked: frozenset[tuple[str, int]] = frozenset()
-    answered: set[tuple[str, int]] = attrs.field(factory=set)
     buffered: list[bytes] = attrs.field(factory=list)
 
 
@@ -94,7 +83,6 @@
         counts: BalancerFlowCounts,
     ) -> None:
         self.latency = LatencyHistogram()
-        self._own_address = own_address
         self._domain = domain
         self._peers = peers
         self._routes = routes
@@ -108,24 +96,15 @@
         """Look up the owner of a packet's flow, or buffer the packet while a lookup is pending."""
         lookup = self._pending.get(packet.flow)
         if lookup is None:
-            self._ask_candidates(packet, now)
+            self._start(packet, now)
         elif now - lookup.last_sent_at < lookup.retry_interval_s:
-            if len(lookup.buffered) <= MAX_BUFFERED_PACKETS:
+            if len(lookup.buffered) < MAX_BUFFERED_PACKETS:
                 lookup.buffered.append(packet.raw)
         else:
             lookup.packet = packet
             lookup.buffered.clear()
             lookup.retry_interval_s = min(2 * lookup.retry_interval_s, MAX_LOOKUP_RETRY_S)
-            self._search(lookup, now)
-
-    def on_denial(self, flow: bytes, agent: tuple[str, int], now: float) -> None:
-        """Ask for a search once no asked candidate knows to own a flow."""
-        lookup = self._pending.get(flow)
-        if lookup is None or lookup.searches:
-            return
-        lookup.answered.add(agent)
-        if lookup.asked <= lookup.answered:
-            self._send_search(lookup, agent, now)
+            self._ask_next(lookup, now)
 
     def finish(self, flow: bytes, owner: tuple[str, int], now: float) -> None:
         """Complete a lookup and send the buffered packets to the owner unless they are too old."""
@@ -150,47 +129,31 @@
         """Discard the lookups of flows that have sent no packet for a while."""
         remove_outdated(self._pending, lambda lookup: now - lookup.last_sent_at > LOOKUP_LIFE_S)
 
-    def _ask_candidates(self, packet: FlowPacket, now: float) -> None:
-        candidates = lookup_candidates(packet.flow, self._holders(packet), self._domain)
-        self._pending[packet.flow] = Lookup(
-            packet=packet,
-            started_at=now,
-            last_sent_at=now,
-            asked=frozenset(peer.address for peer in candidates),
-            buffered=[packet.raw],
-        )
+    def _start(self, packet: FlowPacket, now: float) -> None:
+        lookup = Lookup(packet=packet, started_at=now, last_sent_at=now)
+        self._pending[packet.flow] = lookup
         self._counts.sought += 1
-        _log.info(
-            "flow_sought", flow=flow_text(packet.flow), asked=[peer.name for peer in candidates]
-        )
-        query = encode_query(FlowQuery(searcher=self._own_address, flows=(packet.flow,)))
-        for peer in candidates:
-            self._send(packet.flow, query, peer.address)
-
-    def _search(self, lookup: Lookup, now: float) -> None:
-        """Ask the next candidate for a search, so that an agent that is down delays only one."""
-        flow, holders = lookup.packet.flow, self._holders(lookup.packet)
-        candidates = flow_candidates(flow, holders, lookup.searches + 1)
+        self._ask_next(lookup, now)
+
+    def _ask_next(self, lookup: Lookup, now: float) -> None:
+        """Ask the next candidate, so that an agent that is down delays one attempt only."""
+        packet = lookup.packet
+        lookup.last_sent_at = now
+        candidates = lookup_candidates(packet.flow, self._holders(packet), self._domain)
         if not candidates:
-            lookup.last_sent_at = now
             return
-        self._send_search(lookup, candidates[-1].address, now)
-
-    def _send_search(self, lookup: Lookup, searcher: tuple[str, int], now: float) -> None:
+        searcher = candidates[lookup.searches % len(candidates)]
         lookup.searches += 1
-        lookup.last_sent_at = now
         self._counts.searches += 1
         _log.info(
-            "flow_search_asked",
-            flow=flow_text(lookup.packet.flow),
-            searcher=searcher[0],
-            denied_by=len(lookup.answered),
+            "flow_sought",
+            flow=flow_text(packet.flow),
+            searcher=searcher.name,
             searches=lookup.searches,
         )
-        packet = lookup.packet
-        if packet.raw in lookup.buffered:
-            lookup.buffered.remove(packet.raw)
-        self._send(packet.flow, self._search_header + packet.raw, searcher)
+        datagram = self._search_header + packet.raw
+        self._counts.lookup_bytes += len(datagram)
+        self._to_peer(packet.flow, datagram, searcher.address)
 
     def _holders(self, packet: FlowPacket) -> Sequence[Peer]:
         """Return the agents that are asked about a flow.
@@ -205,11 +168,6 @@
         holders = table.holders.get(route.service_for(packet.flow), ())
         return holders or table.holders_of(route.holder_keys)
 
-    def _send(self, flow: bytes, datagram: bytes, address: tuple[str, int]) -> None:
-        self._counts.lookup_copies += 1
-        self._counts.lookup_bytes += len(datagram)
-        self._to_peer(flow, datagram, address)
-
 
 def _header(kind: Kind, own_address: tuple[str, int]) -> bytes:
     return encode_envelope(Envelope(kind=kind, hops=0, balancer=own_address), b"")
--- a/lentilcourse/steering/owner_searches.py
+++ b/lentilcourse/steering/owner_searches.py
@@ -1,20 +1,23 @@
-"""Owner searches of an agent, for flows that none of their first candidates owns.
+"""Owner searches of an agent, for flows whose owner a balancer does not know.
 
-The agent asks all agents that may hold a flow. Questions about several flows share a datagram, and
-there is at most one datagram to each agent in `ROUND_INTERVAL_S`, however many flows are searched
-for: a search that many callers cause at once takes longer, but does not load the other agents
-more. A flow is dead once every agent that may hold it has denied it.
+The agent first asks the flow's first candidates, one of which owns it in most cases, then all
+agents that may hold the flow. Questions about several flows share a datagram, and there is at most
+one datagram to each agent in an interval, however many flows are searched for: a search that many
+callers cause at once takes longer, but does not load the other agents more. A flow is dead once
+every agent that may hold it has denied it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import threading
+from collections.abc import Callable, Collection
 from itertools import islice
 from typing import Final
 
 import attrs
 
 from lentilcourse.logs import get_logger
+from lentilcourse.steering.candidates import lookup_candidates
 from lentilcourse.steering.datagrams import (
     MAX_FLOWS_PER_QUERY,
     Envelope,
@@ -29,11 +32,13 @@
 )
 from lentilcourse.steering.flow_records import AgentFlowCounts
 from lentilcourse.steering.packet_format import FlowPacket
-from lentilcourse.steering.peers import Peers
+from lentilcourse.steering.peers import Peer, Peers
 from lentilcourse.steering.routes import Routes
 
+FIRST_ROUND_INTERVAL_S: Final = 0.02
+"""Minimum time between two rounds that ask the first candidates of flows."""
 ROUND_INTERVAL_S: Final = 0.25
-"""Minimum time between two rounds of queries."""
+"""Minimum time between two rounds that ask all agents."""
 SEARCH_LIFE_S: Final = 1.0
 """Time after which a search is given up; a later packet of the flow starts a new one."""
 MAX_SEARCHES: Final = 4 * MAX_FLOWS_PER_QUERY
@@ -52,6 +57,7 @@
         started_at: time at which the search began.
         denied: addresses of the agents whose targets do not hold the flow.
         tried: addresses of unsure agents that have been sent the packet.
+        asked: addresses of the first candidates; empty until they are asked.
     """
 
     packet: FlowPacket
@@ -59,39 +65,53 @@
     started_at: float
     denied: set[tuple[str, int]] = attrs.field(factory=set)
     tried: set[tuple[str, int]] = attrs.field(factory=set)
+    asked: frozenset[tuple[str, int]] = frozenset()
 
 
 class OwnerSearches:
-    """Pending searches of one agent; callers must hold the agent's lock."""
+    """Pending searches of one agent; callers must hold the agent's lock.
+
+    Attributes:
+        waiting: set while a search waits for the next round that asks first candidates.
+    """
 
     def __init__(
         self,
         *,
         own_address: tuple[str, int],
+        domain: str,
         peers: Peers,
         routes: Routes,
         to_peer: Send,
         on_dead: Callable[[FlowPacket], None],
         counts: AgentFlowCounts,
     ) -> None:
+        self.waiting = threading.Event()
         self._own_address = own_address
+        self._domain = domain
         self._peers = peers
         self._routes = routes
         self._to_peer = to_peer
         self._on_dead = on_dead
         self._counts = counts
         self._pending: dict[bytes, Search] = {}
-        self._last_round_at = float("-inf")
+        self._first_round_at = float("-inf")
+        self._full_round_at = float("-inf")
 
     def start(self, packet: FlowPacket, balancer: tuple[str, int], now: float) -> None:
         """Search for the owner of a packet's flow unless a search for it is pending."""
-        if packet.flow in self._pending or len(self._pending) >= MAX_SEARCHES:
+        pending = self._pending.get(packet.flow)
+        if pending is not None and now - pending.started_at <= SEARCH_LIFE_S:
+            return
+        if pending is None and len(self._pending) >= MAX_SEARCHES:
             return
         self._pending[packet.flow] = Search(packet=packet, balancer=balancer, started_at=now)
         self._counts.sought += 1
         _log.info("flow_sought", flow=flow_text(packet.flow), balancer=balancer[0])
-        if now - self._last_round_at >= ROUND_INTERVAL_S:
+        if now - self._first_round_at >= FIRST_ROUND_INTERVAL_S:
             self.run_round(now)
+        else:
+            self.waiting.set()
 
     def run_round(self, now: float) -> None:
         """Ask each agent about the oldest flows that it has neither claimed nor denied.
@@ -99,21 +119,37 @@
         Flows that all known agents have denied are checked again: the list of agents may have
         become complete since their last reply.
         """
+        self.waiting.clear()
         self._expire(now)
         for search in list(self._pending.values()):
             self._end_if_dead(search)
         if not self._pending:
             return
-        self._last_round_at = now
+        full = now - self._full_round_at >= ROUND_INTERVAL_S
         questions: dict[tuple[str, int], list[bytes]] = {}
         for flow, search in islice(self._pending.items(), MAX_FLOWS_PER_QUERY):
-            for address in self._possible_holders(search.packet) - search.denied:
+            for address in self._addresses_to_ask(search, full, now):
                 questions.setdefault(address, []).append(flow)
         for address, flows in questions.items():
             self._counts.queries += 1
             query = FlowQuery(searcher=self._own_address, flows=tuple(flows))
             self._to_peer(encode_query(query), address)
 
+    def _addresses_to_ask(
+        self, search: Search, full: bool, now: float
+    ) -> Collection[tuple[str, int]]:
+        """Return the agents to ask now: first candidates, then all if a full round is due."""
+        if not search.asked:
+            self._first_round_at = now
+            holders = self._possible_holders(search.packet)
+            first = lookup_candidates(search.packet.flow, holders, self._domain)
+            search.asked = frozenset(peer.address for peer in first)
+            return search.asked
+        if not full:
+            return ()
+        self._full_round_at = now
+        return self._holder_addresses(search.packet) - search.denied
+
     def on_reply(self, reply: FlowReply, now: float) -> None:
         """Handle the answers of an agent."""
         for flow, answer in reply.answers.items():
@@ -123,6 +159,7 @@
             if answer is Possession.DENIES:
                 search.denied.add(reply.agent)
                 self._end_if_dead(search)
+                self._continue(search, now)
                 continue
             if answer is Possession.HOLDS:
                 del self._pending[flow]
@@ -130,12 +167,19 @@
                 search.tried.add(reply.agent)
                 self._send_packet(search, reply.agent)
 
+    def _continue(self, search: Search, now: float) -> None:
+        """Ask all agents once the first candidates have denied a flow, if a round is due."""
+        is_pending = self._pending.get(search.packet.flow) is search
+        is_due = now - self._full_round_at >= ROUND_INTERVAL_S
+        if is_pending and is_due and search.asked <= search.denied:
+            self.run_round(now)
+
     def _end_if_dead(self, search: Search) -> None:
         """End a search once all agents that may hold the flow have denied it.
 
         The flow may live on an agent that is not known yet, so the list must be complete.
         """
-        holders = self._possible_holders(search.packet)
+        holders = self._holder_addresses(search.packet)
         if holders and holders <= search.denied and self._peers.complete():
             del self._pending[search.packet.flow]
             _log.info(
@@ -143,11 +187,14 @@
             )
             self._on_dead(search.packet)
 
-    def _possible_holders(self, packet: FlowPacket) -> set[tuple[str, int]]:
+    def _possible_holders(self, packet: FlowPacket) -> tuple[Peer, ...]:
         route = self._routes.find(packet.entry)
         if route is None:
-            return set()
-        return {peer.address for peer in self._peers.table().holders_of(route.holder_keys)}
+            return ()
+        return self._peers.table().holders_of(route.holder_keys)
+
+    def _holder_addresses(self, packet: FlowPacket) -> set[tuple[str, int]]:
+        return {peer.address for peer in self._possible_holders(packet)}
 
     def _send_packet(self, search: Search, agent: tuple[str, int]) -> None:
         envelope = Envelope(kind=Kind.SEEK, hops=1, balancer=search.balancer)
@@ -159,7 +206,7 @@
         ]
         for search in outdated:
             del self._pending[search.packet.flow]
-            missing = self._possible_holders(search.packet) - search.denied
+            missing = self._holder_addresses(search.packet) - search.denied
             _log.info(
                 "flow_search_ended",
                 flow=flow_text(search.packet.flow),
