Keep packets that arrive before the catalogue or an agent is known

Callers send again only after 0.2, 0.4, 0.8, 1.6 s.

Change: such packets wait for a second at most, 512 of them, and are handled once the state or the directory changes. What is certain is refused at once as before.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -19,6 +19,8 @@
       | steering.wrong_service_gets_nothing             |
       | steering.drained_target_gets_no_flow            |
       | steering.nothing_is_refused_before_all_is_known |
+      | steering.early_packets_wait                     |
+      | steering.early_packets_are_bounded              |
       | steering.cold_budget_holds                      |
       | steering.returned_domain_is_cold                |
       | steering.last_run_is_believed                   |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -24,6 +24,7 @@
 from lentilcourse.model import RegisteredAgent, State
 from lentilcourse.options import Address
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_SYN
+from lentilcourse.steering.balancer_flows import EARLY_LIFE_S, MAX_EARLY_PACKETS
 from lentilcourse.steering.candidates import FAR_LOOKUPS, NEAR_LOOKUPS
 from lentilcourse.steering.datagrams import (
     FLOW_BYTES,
@@ -268,6 +269,48 @@
     assert len(world.resets()) == 1
 
 
+@prop("steering.early_packets_wait")
+@given(st.integers(0, 1000), st.booleans(), st.floats(0.1, 2.0))
+def check_early(seed, agents_missing, wait_s):
+    """Packets that reach a balancer before it knows the catalogue or an agent are not lost.
+
+    Their callers would send them again only after 0.2 to 1.6 s (all power lost).
+    """
+    world = SteeringWorld(agents=4, balancers=1, seed=seed)
+    holder = world.open_flow(1, "b1")
+    known, records = world.state, world.records
+    if agents_missing:
+        world.down.update(records)
+    else:
+        world.state = State()
+    world.start_balancer("b2")
+    world.send_data(1, "b2")
+    world.open_flow(2, "b2")
+    assert world.holder(2) is None and world.resets() == []
+    world.down.clear()
+    world.state = world.copies["b2"].current = known
+    world.now += wait_s
+    world.refresh_directory("b2")
+    world.balancers["b2"].on_view_changed(world.now)
+    world.deliver_all()
+    received = [raw for raw in holder.received if raw[22:28] == caller(1)]
+    if wait_s < 0.9 * EARLY_LIFE_S:
+        assert world.holder(2) is not None and len(received) == 2
+    if wait_s > EARLY_LIFE_S:
+        assert world.holder(2) is None and len(received) == 1
+
+
+@prop("steering.early_packets_are_bounded")
+def check_early_bound():
+    """A balancer that waits for its catalogue keeps a bounded number of packets."""
+    world = SteeringWorld(agents=2, balancers=1)
+    world.state = State()
+    world.start_balancer("b2")
+    for number in range(2 * MAX_EARLY_PACKETS):
+        world.send("b2", packet(caller(number), FLAG_SYN))
+    assert len(world.balancers["b2"]._early) == MAX_EARLY_PACKETS
+
+
 @prop("steering.cold_budget_holds")
 @given(st.lists(st.floats(0.0, 0.4), max_size=80), st.integers(1, 20))
 def check_cold(pauses, limit):
--- a/lentilcourse/steering/balancer_flows.py
+++ b/lentilcourse/steering/balancer_flows.py
@@ -8,6 +8,7 @@
 
 import random
 import threading
+from collections import deque
 from collections.abc import Callable
 from typing import Final
 
@@ -42,6 +43,11 @@
 HINT_EXTRA_LIFE_S: Final = 5.0
 """Time for which a hint is kept beyond the idle timeout of flows."""
 
+EARLY_LIFE_S: Final = 1.0
+"""Time for which a packet waits for its entry or an agent; callers send it again meanwhile."""
+MAX_EARLY_PACKETS: Final = 512
+"""Packets that wait at once; the oldest are dropped first."""
+
 _log = get_logger(__name__)
 
 
@@ -62,6 +68,14 @@
     last_packet_at: float
 
 
+@attrs.frozen(kw_only=True)
+class EarlyPacket:
+    """A packet and the time of its arrival; it may wait for what the balancer does not know yet."""
+
+    packet: FlowPacket
+    arrived_at: float
+
+
 class BalancerFlows:
     """All flows of one balancer; thread-safe.
 
@@ -102,6 +116,7 @@
             Envelope(kind=Kind.CARRY, hops=0, balancer=own_address), b""
         )
         self._hints: dict[bytes, OwnerHint] = {}
+        self._early: deque[EarlyPacket] = deque(maxlen=MAX_EARLY_PACKETS)
         self._lookups = OwnerLookups(
             own_address=own_address,
             domain=domain,
@@ -123,15 +138,16 @@
         packet = self._format.read_caller(raw)
         self.counts.received += 1
         with self._lock:
-            hint = self._hints.get(packet.flow)
-            if packet.opening:
-                self._on_opening(packet, hint, now)
-            elif hint is not None:
-                hint.last_packet_at = now
-                self.counts.carried += 1
-                self._to_peer(packet.flow, self._carry_header + packet.raw, hint.owner)
-            else:
-                self._lookups.on_packet(packet, now)
+            self._on_packet(EarlyPacket(packet=packet, arrived_at=now), now)
+
+    def on_view_changed(self, now: float) -> None:
+        """Handle the packets that waited until their entry and an agent of it are known."""
+        with self._lock:
+            waiting = list(self._early)
+            self._early.clear()
+            for early in waiting:
+                if now - early.arrived_at <= EARLY_LIFE_S:
+                    self._on_packet(early, now)
 
     def on_notice(self, datagram: bytes, now: float) -> None:
         """Handle a notice from an agent; raises `PacketError` if it is malformed."""
@@ -152,11 +168,29 @@
             remove_outdated(self._hints, lambda hint: now - hint.last_packet_at > life_s)
             self._lookups.expire(now)
 
-    def _on_opening(self, packet: FlowPacket, hint: OwnerHint | None, now: float) -> None:
+    def _on_packet(self, early: EarlyPacket, now: float) -> None:
+        packet = early.packet
+        hint = self._hints.get(packet.flow)
+        if packet.opening:
+            self._on_opening(early, hint, now)
+        elif hint is not None:
+            hint.last_packet_at = now
+            self.counts.carried += 1
+            self._to_peer(packet.flow, self._carry_header + packet.raw, hint.owner)
+        elif self._knows_agents():
+            self._lookups.on_packet(packet, now)
+        else:
+            self._early.append(early)
+
+    def _knows_agents(self) -> bool:
+        return self._state().catalogue.number > 0 and bool(self._peers.table().names)
+
+    def _on_opening(self, early: EarlyPacket, hint: OwnerHint | None, now: float) -> None:
+        packet = early.packet
         route = self._routes.find(packet.entry)
         if route is None:
             self.counts.unknown_entry += 1
-            self._refuse(packet, "unknown-entry", self._state().catalogue.number > 0)
+            self._refuse(early, "unknown-entry", self._state().catalogue.number > 0)
             return
         if hint is not None and (hint.confirmed or now - hint.offered_at < OFFER_TIMEOUT_S):
             hint.last_packet_at = now
@@ -171,13 +205,14 @@
                 waited_ms=int((now - hint.offered_at) * MS_PER_S),
             )
             self.loads.record_unanswered_offer(hint.owner, now)
-        self._place(packet, route, now)
+        self._place(early, route, now)
 
-    def _place(self, packet: FlowPacket, route: Route, now: float) -> None:
+    def _place(self, early: EarlyPacket, route: Route, now: float) -> None:
+        packet = early.packet
         peers = self._peers.table().serving.get(route.service_for(packet.flow), ())
         if not peers:
             self.counts.no_target += 1
-            self._refuse(packet, "no-target", self._peers.complete())
+            self._refuse(early, "no-target", self._peers.complete())
             return
         peer = self._choose_agent(packet.flow, peers, now)
         self.counts.opened += 1
@@ -232,14 +267,14 @@
         if hint is not None and hint.owner == agent:
             del self._hints[flow]
 
-    def _refuse(self, packet: FlowPacket, reason: str, certain: bool) -> None:
-        """Refuse a new flow.
+    def _refuse(self, early: EarlyPacket, reason: str, certain: bool) -> None:
+        """Refuse a new flow, or keep its packet for a while if the refusal is not certain.
 
-        Unless the refusal is certain, the packet is dropped without a reset: the balancer's
-        knowledge may still be incomplete.
+        The balancer's knowledge may still be incomplete.
         """
+        packet = early.packet
         _log.info(
-            "flow_refused" if certain else "flow_dropped",
+            "flow_refused" if certain else "flow_waits",
             flow=flow_text(packet.flow),
             reason=reason,
             catalogue=self._state().catalogue.number,
@@ -248,6 +283,8 @@
         if certain:
             host = self._format.caller_host(packet.flow)
             self._to_caller(self._format.reset(packet), (host, self._caller_port))
+        else:
+            self._early.append(early)
 
     def _log_placed(
         self, packet: FlowPacket, route: Route, peer: Peer, candidates: int, now: float
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -31,7 +31,11 @@
     load_plugin(cfg.packet_format)
     caller_loop = DatagramLoop(address=cfg.packet_address, lifecycle=lifecycle)
     agent_loop = DatagramLoop(address=cfg.peer_address, lifecycle=lifecycle)
-    view = create_system_view(context, lambda: flows.known_flows)
+    view = create_system_view(
+        context,
+        lambda: flows.known_flows,
+        on_change=lambda: flows.on_view_changed(time.monotonic()),
+    )
     pacer = Pacer(link_mbps=cfg.link_mbps, send=agent_loop.send)
     flows = BalancerFlows(
         packet_format=PACKET_FORMATS.get(cfg.packet_format),
--- a/lentilcourse/steering/membership.py
+++ b/lentilcourse/steering/membership.py
@@ -81,13 +81,26 @@
     context: ProcessContext,
     open_flows: Callable[[], int],
     notice: Callable[[], AgentNotice | None] = lambda: None,
+    on_change: Callable[[], None] = lambda: None,
 ) -> SystemView:
-    """Create the system view of a process; the caller must start its subscription."""
+    """Create the system view of a process; the caller must start its subscription.
+
+    `on_change` is called after each change of the state or the directory.
+    """
     settings = context.settings
     copy = StateCopy()
-    directory = Directory(on_change=lambda: change_log.on_agents(directory.records()))
     change_log = ViewChangeLog()
 
+    def on_agents() -> None:
+        change_log.on_agents(directory.records())
+        on_change()
+
+    def on_state(state: State, now: float) -> None:
+        change_log.on_state(state, now)
+        on_change()
+
+    directory = Directory(on_change=on_agents)
+
     def report() -> Report:
         return Report(
             name=settings.process.name,
@@ -98,7 +111,7 @@
             admin_address=str(settings.process.admin_address),
         )
 
-    copy.listen(change_log.on_state)
+    copy.listen(on_state)
     uses_discovery = settings.discovery is not None
     subscription = Subscription(
         controllers=seeded_controllers(settings) if uses_discovery else named_controllers(settings),
