--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -20,6 +20,7 @@
     "placement",
     "placement_load",
     "directory",
+    "early_sockets",
     "platform",
     "formation",
     "founding",
