Check domain and slots again when a request has waited for its slot

If its domain went out meanwhile, or the target turned cold and bears fewer requests, it was delivered all the same.

Change: the agent checks again before it connects; the request is refused as not run.

Measured: requests.change_while_waiting_is_seen fails without the second check.

--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -6,11 +6,15 @@
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
+from lentilcourse.actions import SetDomain
+from lentilcourse.agent.cold_detection import ColdDetector
 from lentilcourse.agent.idempotency import KeyRecord, KeyRecords, fingerprint
 from lentilcourse.agent.key_history import (
     KEY_LIFE_MS,
@@ -21,7 +25,9 @@
     key_time_ms,
     run_name,
 )
+from lentilcourse.agent.request_plane import RequestPlane
 from lentilcourse.agent.slots import QUEUE_PER_SLOT, SlotQueue
+from lentilcourse.agent.target import TargetHealth
 from lentilcourse.balancer.request_path import (
     RequestRefusedError,
     final_refusal,
@@ -32,14 +38,20 @@
 from lentilcourse.balancer.retry_budget import MAX_SAVED_RETRIES, RETRY_SHARE, RetryBudget
 from lentilcourse.buckets import BUCKETS, bucket_of, rendezvous_table
 from lentilcourse.http_server import HttpRequest
+from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.lab.cluster import wait_until
 from lentilcourse.messages.base import Header
 from lentilcourse.messages.requests import KeyState, Refusal, RequestStart
-from lentilcourse.model import State
-from lentilcourse.refusals import Cause, http_body, http_status, system_refusal
+from lentilcourse.model import Protocol, State
+from lentilcourse.options import Address
+from lentilcourse.refusals import Cause, RefusalCounts, http_body, http_status, system_refusal
+from lentilcourse.subscription import StateCopy
 from properties import prop
+from properties.members import ENTRY, change_state, join
 
 NAMES = ("a", "b", "c", "d")
 
+
 refusals = st.builds(
     Refusal,
     refusal_id=st.just("r"),
@@ -459,3 +471,72 @@
     records.merge(key_state(1, "k", other))
     assert records.find(1, "k").body == b"first"
     assert KEY_LIFE_MS > 0
+
+
+class RecordingStream:
+    """A balancer's stream that keeps what the agent answers."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, msg):
+        self.sent.append(msg)
+
+
+def waiting_plane():
+    """Return a request plane with one slot, its state copy, and a stream."""
+    state = change_state(change_state(State(), ENTRY), join("t1"))
+    entry = attrs.evolve(state.entries["price-board"], protocol=Protocol.HTTP)
+    copy = StateCopy()
+    copy.offer(attrs.evolve(state, entries={entry.name: entry}), 0.0)
+    monitor = SimpleNamespace(
+        health=TargetHealth.SERVING,
+        last=None,
+        request_address=lambda: Address(host="127.0.0.1", port=9),
+    )
+    plane = RequestPlane(
+        name="t1",
+        copy=copy,
+        monitor=monitor,
+        lifecycle=Lifecycle(),
+        refusals=RefusalCounts(),
+        records=KeyRecords(),
+        keys=None,
+        cold_detector=ColdDetector(),
+    )
+    return plane, copy, RecordingStream()
+
+
+def turn_cold(plane):
+    """Let the target turn cold right after the next request has been given a slot."""
+
+    def address():
+        plane.slots.set_limit(0)
+        return Address(host="127.0.0.1", port=9)
+
+    plane._monitor.request_address = address
+
+
+@prop("requests.change_while_waiting_is_seen")
+def check_waiting():
+    """A request that waits for a slot is not delivered to a domain that has gone out meanwhile.
+
+    Nor is one that has its slot already when the target turns cold and bears fewer.
+    """
+    for change in ("out", "cold"):
+        plane, copy, stream = waiting_plane()
+        plane.slots.set_limit(1)
+        assert plane.slots.acquire(0, time.monotonic() + 5, lambda: False) is None
+        (entry,) = copy.current.entries.values()
+        plane._start_request(attrs.evolve(request(""), entry_id=entry.entry_id), stream, {})
+        wait_until(lambda plane=plane: plane.slots.waiting, 5.0, "the request waits")
+        if change == "out":
+            out = change_state(copy.current, SetDomain(name="d1", state="out"))
+            copy.offer(out, 0.0)
+        else:
+            turn_cold(plane)
+        plane.slots.release()
+        wait_until(lambda stream=stream: stream.sent, 5.0, "the request is refused")
+        refusal = stream.sent[0].refusal
+        expected = Cause.DOMAIN_OUT if change == "out" else Cause.TARGET_COLD
+        assert (refusal.cause, refusal.ran) == (expected.value, "no")
--- a/lentilcourse/agent/request_plane.py
+++ b/lentilcourse/agent/request_plane.py
@@ -347,10 +347,19 @@
             self._entry_running[entry.entry_id] -= 1
 
     def _deliver(self, job: Job) -> Refusal | None:
+        """Deliver a request that has a slot, unless the target has changed since it arrived.
+
+        Its domain may have gone out, or the target may have become cold, while the request waited.
+        """
+        refusal = self._check_admission(job)
+        if refusal is not None:
+            return refusal
         address = self._monitor.request_address()
         now = time.monotonic()
         if address is None:
             return job.refuse(Cause.TARGET_GONE, RAN_NO)
+        if self.slots.in_use > self.slots.limit:
+            return job.refuse(Cause.TARGET_COLD, RAN_NO)
         if now >= job.deadline:
             return job.refuse(Cause.DEADLINE, RAN_NO)
         exchange = TargetExchange(address=address, deadline=job.deadline)
