Revert "Open the sockets for packets before the process is imported"

Packets that have waited for a second are mostly retransmissions whose handling takes processor time from those that come then.

Change: the sockets are opened by the role again.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -38,9 +38,6 @@
       | directory.earlier_builds_get_whole_lists        |
       | directory.silent_agents_are_dropped             |
       | directory.subscribers_agree_in_the_end          |
-      | sockets.packets_wait_for_the_process            |
-      | sockets.bad_settings_are_left_to_the_check      |
-      | sockets.taken_once                              |
       | platform.samples_of_the_page                    |
       | platform.packets_round_trip                     |
       | platform.reset_is_inside_the_window             |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -20,7 +20,6 @@
     "placement",
     "placement_load",
     "directory",
-    "early_sockets",
     "platform",
     "formation",
     "founding",
--- a/lentilcourse/platform/process.py
+++ b/lentilcourse/platform/process.py
@@ -2,8 +2,7 @@
 
 A restart is paid in processor time before the first packet is served. So the command line of the
 daemon is left out, the platform starts Python without `site`, and the garbage collector rests
-until the start is over: it would search classes and functions that stay anyway. The sockets for
-packets are opened first, so that packets wait in them until the process is ready.
+until the start is over: it would search classes and functions that stay anyway.
 """
 
 from __future__ import annotations
@@ -13,22 +12,18 @@
 import sys
 from typing import Final
 
-from lentilcourse.early_sockets import open_early_sockets
-
 SETTINGS_VARIABLE: Final = "LENTILCOURSE_SETTINGS"
 
 
 def main() -> None:
     """Run the process that the settings describe."""
     gc.disable()
-    file = os.environ.get(SETTINGS_VARIABLE, "")
-    open_early_sockets(file)
-    from lentilcourse.daemon import EXIT_SETTINGS, run_process  # noqa: PLC0415 - after the sockets
+    from lentilcourse.daemon import EXIT_SETTINGS, run_process  # noqa: PLC0415 - after `disable`
     from lentilcourse.errors import SettingsError  # noqa: PLC0415
     from lentilcourse.settings_file import load_settings  # noqa: PLC0415
 
     try:
-        settings = load_settings(file)
+        settings = load_settings(os.environ.get(SETTINGS_VARIABLE, ""))
     except SettingsError as exc:
         print(f"lentilcoursed: {exc}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
--- a/lentilcourse/sockets.py
+++ b/lentilcourse/sockets.py
@@ -7,10 +7,10 @@
 from typing import Final
 
 from lentilcourse.clocks import MS_PER_S
-from lentilcourse.early_sockets import take_datagram_socket
 from lentilcourse.options import Address
 
 SOCKET_POLL_S: Final = 0.25
+SOCKET_BUFFER_BYTES: Final = 4 * 1024 * 1024
 MAX_DATAGRAM_BYTES: Final = 65535
 
 
@@ -25,6 +25,8 @@
 
 def open_datagram_socket(address: Address) -> socket.socket:
     """Return a bound UDP socket whose receive call polls the stop signal."""
-    sock = take_datagram_socket(address.pair())
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BUFFER_BYTES)
+    sock.bind(address.pair())
     sock.settimeout(SOCKET_POLL_S)
     return sock
