Unregister agents whose target has left; connect soon to controllers that start

A target had left at 33.7 s; its agent was to stop at 35.7 s and did not come back, and stayed registered for 60 s as one that may hold flows. - Balancers ran from 35.62 to 35.75 s and a leader stood at 36.02 s, but they had the catalogue only at 36.05 to 36.27 s: an attempt to reach a dark controller took 0.3 s, and the next came 0.1 s later.

Change: an agent says in its record that its target has left as planned, so that no flow is held there; it is unregistered at once. Attempts to connect to a controller end after 0.15 s, and the next one follows after 0.03 s, doubled up to 0.2 s, with jitter.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -20,6 +20,8 @@
       | steering.drained_target_gets_no_flow            |
       | steering.nothing_is_refused_before_all_is_known |
       | steering.early_packets_wait                     |
+      | steering.departed_target_is_not_waited_for      |
+      | subscription.retries_follow_a_start             |
       | steering.early_packets_are_bounded              |
       | steering.cold_budget_holds                      |
       | steering.returned_domain_is_cold                |
--- a/features/properties/catalogue.py
+++ b/features/properties/catalogue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import attrs
 from hypothesis import given
 from hypothesis import strategies as st
@@ -25,7 +27,14 @@
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.messages.state import Announcement, Delta, FullState
 from lentilcourse.model import State, TargetState, apply_delta
-from lentilcourse.subscription import StateCopy, Subscription
+from lentilcourse.subscription import (
+    MAX_RETRY_DELAY_S,
+    RETRY_DELAY_S,
+    SOURCE_CONNECT_TIMEOUT_S,
+    RetryDelays,
+    StateCopy,
+    Subscription,
+)
 from properties import prop
 
 names = st.sampled_from(("one", "two", "three", "9bad", ""))
@@ -161,6 +170,27 @@
     assert unpack_record(pack_record(FullState(state=copy)), FullState).state == copy
 
 
+@prop("subscription.retries_follow_a_start")
+@given(st.floats(0.0, 3.0), st.integers(0, 1000))
+def check_retries(starts_after_s, seed):
+    """A process that starts before its controllers connects soon after one runs.
+
+    It tried again after 0.4 s (fynbos-lbl scale-2, all power lost). Attempts that go on for long
+    are further apart, and spread.
+    """
+    delays = RetryDelays(rng=random.Random(seed))
+    now, attempts = 0.0, 0
+    while now < starts_after_s:
+        now += SOURCE_CONNECT_TIMEOUT_S + delays.next_delay_s()
+        attempts += 1
+    assert now - starts_after_s <= SOURCE_CONNECT_TIMEOUT_S + 1.5 * MAX_RETRY_DELAY_S
+    if starts_after_s <= 0.3:
+        assert now - starts_after_s <= 0.25
+    assert attempts <= 4 + starts_after_s / (SOURCE_CONNECT_TIMEOUT_S + 0.5 * MAX_RETRY_DELAY_S)
+    delays.reset()
+    assert delays.next_delay_s() <= 1.5 * RETRY_DELAY_S
+
+
 @prop("subscription.never_steps_back")
 @given(st.lists(changes, max_size=20), st.lists(st.integers(0, 40), max_size=40))
 def check_copy(sequence, order):
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -423,6 +423,40 @@
     assert not [each for each in anew if isinstance(each, ForgetAgent)]
 
 
+@prop("steering.departed_target_is_not_waited_for")
+@given(st.integers(0, 1000))
+def check_departed(seed):
+    """A dead flow is reset although an agent whose target left before never comes back.
+
+    The agent's machine was to stop two seconds after its target; all power was lost in between, and
+    no dead flow was reset for the rest of the day (fynbos-lbl scale-2).
+    """
+    watch = TargetWatch(address=HERE, announcement_life_s=2.0)
+    assert not watch.has_left
+    watch.record_announcement(report(), 0.0)
+    assert not watch.has_left
+    watch.remove("t")
+    assert watch.has_left
+    world = SteeringWorld(agents=4, balancers=2, seed=seed)
+    holder = world.open_flow(1, "b1")
+    left = next(name for name in world.agents if name != holder.agent)
+    records = [
+        attrs.evolve(each, state=STATE_IDLE, vacant=True) if each.name == left else each
+        for each in world.records.values()
+    ]
+    (due,) = Registrations().due(world.state, records, set(), world.now)
+    assert due == ForgetAgent(name=left)
+    world.register(*(name for name in world.records if name != left))
+    world.down.add(left)
+    world.advance_time(RECORD_LIFE_S + 2)
+    for directory in world.directories.values():
+        directory.expire(world.now)
+    world.restart_target(holder.agent)
+    world.resets()
+    world.send_data(1, "b2")
+    assert len(world.resets()) == 1
+
+
 @prop("steering.agent_without_target_is_not_waited_for")
 def check_idle_agent():
     """An agent that has never had a target does not delay resets, though it can't deny yet."""
--- a/lentilcourse/controller/registrations.py
+++ b/lentilcourse/controller/registrations.py
@@ -41,13 +41,16 @@
         """Return the changes due, given the agents in the directory and those shut down.
 
         `records` holds the agents in the directory, `gone` the names of those shut down. An agent
-        is registered once it has a target, since it can hold no flow before. At most
-        `MAX_ACTIONS_PER_CALL` changes are returned; later calls return the rest.
+        is registered while it has a target, since it holds no flow before, nor after the target
+        has left as planned. At most `MAX_ACTIONS_PER_CALL` changes are returned; later calls
+        return the rest.
         """
         actions: list[Action] = []
         for record in records:
             if record.name not in state.agents and record.state != STATE_IDLE:
                 actions.append(RegisterAgent(name=record.name))
+            elif record.name in state.agents and record.vacant:
+                actions.append(ForgetAgent(name=record.name))
         present = {record.name for record in records}
         for name in present:
             self._silent_since.pop(name, None)
--- a/lentilcourse/directory.py
+++ b/lentilcourse/directory.py
@@ -50,6 +50,7 @@
         slots: requests that the target runs at once.
         takes_passed: whether the agent understands opening packets that busy agents pass on; not
             so in earlier builds.
+        vacant: whether its target has left as planned, so that no flow is held there.
     """
 
     name: str
@@ -59,6 +60,7 @@
     state: str
     slots: int
     takes_passed: bool = False
+    vacant: bool = False
 
 
 @message
@@ -223,5 +225,6 @@
         record.state,
         str(record.slots),
         str(record.takes_passed),
+        str(record.vacant),
     )
     return xxh3_64_intdigest("\0".join(values).encode())
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -124,6 +124,7 @@
                 state=self._target_state(time.monotonic()),
                 slots=report.slots if report is not None else 0,
                 takes_passed=True,
+                vacant=self.watch.has_left,
             )
         )
 
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -108,6 +108,11 @@
         self.report = None
         return True
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the last target has departed as planned, with all its flows."""
+        return self.report is None and self.run > 0
+
     def on_domain_returned(self) -> None:
         """Treat the target as cold until its next announcement.
 
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -45,7 +45,12 @@
 FIRST_LEADER_WAIT_S: Final = 1.0
 """Time for which a controller that has had no leader since its start is followed: it serves the
 state as soon as it has one, and so do the others, which were started with it."""
-RETRY_DELAY_S: Final = 0.1
+SOURCE_CONNECT_TIMEOUT_S: Final = 0.15
+"""Time for a connection to a controller to open: several round trips between regions. One that is
+dark answers nothing, and may be back a moment later."""
+RETRY_DELAY_S: Final = 0.03
+"""Pause after the first failed attempt, doubled after each further one."""
+MAX_RETRY_DELAY_S: Final = 0.2
 RELAY_TURN_S: Final = 3.0
 MAX_LOGGED_S: Final = 1e6
 
@@ -156,6 +161,26 @@
         return self._seeds
 
 
+class RetryDelays:
+    """Pauses between attempts to follow a controller, with exponential backoff and jitter.
+
+    The first ones are short, since controllers and subscribers often start together.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._delay_s = RETRY_DELAY_S
+
+    def next_delay_s(self) -> float:
+        """Return the pause after another failed attempt."""
+        delay_s, self._delay_s = self._delay_s, min(2 * self._delay_s, MAX_RETRY_DELAY_S)
+        return delay_s * (0.5 + self._rng.random())
+
+    def reset(self) -> None:
+        """Begin anew after a success."""
+        self._delay_s = RETRY_DELAY_S
+
+
 class Subscription:
     """Keeps a `StateCopy` up to date and reports to the controller.
 
@@ -180,6 +205,7 @@
         self._directory = directory
         self._notice = notice
         self._followed_since = float("-inf")
+        self._retries = RetryDelays(rng=rng)
         self._identity = identity
         self._copy = copy
         self._lifecycle = lifecycle
@@ -232,10 +258,10 @@
         try:
             self._follow(address, until)
         except StreamError:
-            self._lifecycle.stopped.wait(timeout=RETRY_DELAY_S)
+            self._lifecycle.stopped.wait(timeout=self._retries.next_delay_s())
 
     def _follow(self, address: Address, until: float) -> None:
-        stream = connect_stream(address, self._identity)
+        stream = connect_stream(address, self._identity, SOURCE_CONNECT_TIMEOUT_S)
         began = self._followed_since = time.monotonic()
         _log.info("source_connected", source=stream.peer, version=self._copy.current.version)
         try:
@@ -245,7 +271,7 @@
             self.send_report()
             while not self._lifecycle.stopped.is_set() and time.monotonic() < until:
                 if not self._take(stream.receive()):
-                    self._lifecycle.stopped.wait(timeout=RETRY_DELAY_S)
+                    self._lifecycle.stopped.wait(timeout=self._retries.next_delay_s())
                     return
         finally:
             self._stream = None
@@ -286,7 +312,10 @@
         self._copy.confirmed = max(self._copy.confirmed, now - age_s)
         if msg.age_ms >= MAX_FRESHNESS_MS:
             return now - self._followed_since <= FIRST_LEADER_WAIT_S
-        return age_s <= MAX_FRESHNESS_S
+        if age_s > MAX_FRESHNESS_S:
+            return False
+        self._retries.reset()
+        return True
 
     @_take.register
     def _take_agents(self, msg: AgentList) -> bool:
