Say which changed settings are in force; let clock steps forgive no lost key

Cause: read while looking at SIGHUP and at each decision that uses the time of day. SIGHUP wrote a line and nothing else: only seeds took effect, a wrong file went unnoticed until the next start. The life of a loss of key records was counted on the wall clock, so that a jump of an hour ended it, and time-ordered keys counted as newer than the loss from 2 s on, less than the clocks of the platform jump by (2.4 s).

Change: on SIGHUP a process reads its file again, takes the log level (seeds are read at each use), and logs what it took and what needs a restart; a refused file is logged with file, section and key and changes nothing. The life of a loss is counted on the steady clock, handed on with the loss, and keys must be 10 s newer. The other uses of the time of day are records for people (audit, logs).

--- a/features/properties/key_replication.py
+++ b/features/properties/key_replication.py
@@ -109,7 +109,7 @@
         sender, receiver = waiting[number % len(waiting)]
         self.links[sender, receiver] = []
         agent = self.agents[sender]
-        agent._transfer_records(receiver, build_table(State(), "board"))
+        agent._transfer_records(receiver, build_table(State(), "board"), self.now)
 
     def ask_all_owners(self):
         """Let every agent that lacks the outcome of the key ask its owner."""
--- a/features/properties/requests.py
+++ b/features/properties/requests.py
@@ -17,7 +17,8 @@
 from lentilcourse.agent.cold_detection import ColdDetector
 from lentilcourse.agent.idempotency import KeyRecord, KeyRecords, fingerprint
 from lentilcourse.agent.key_history import (
-    KEY_LIFE_MS,
+    CLOCK_MARGIN_MS,
+    KEY_LIFE_S,
     Confirmation,
     KeyHistory,
     KeyVerdict,
@@ -291,8 +292,10 @@
 
     def confirmation(self, name):
         history = self.history[name]
-        partial = {each.bucket: each for each in history.partial()}
-        return Confirmation(version=self.version, partial=partial, lost_ms=history.lost_ms())
+        partial = {each.bucket: each for each in history.partial(self.now)}
+        return Confirmation(
+            version=self.version, partial=partial, lost_ms=history.lost_ms(self.now)
+        )
 
     def hand_over(self, name, peer, table, confirmation):
         for (entry_id, key), record in self.records[name].items():
@@ -447,6 +450,41 @@
         cluster.assert_all_certain()
 
 
+@prop("requests.clock_steps_forgive_no_loss")
+@given(st.integers(-9_000, 9_000), st.integers(-7_200_000, 7_200_000))
+def check_clock_steps(caller_step_ms, agent_step_ms):
+    """A jump of the time of day makes no key new that may have been used before a loss.
+
+    The life of a loss was counted on the wall clock, and a caller's clock that was 2.4 s ahead
+    made its time-ordered keys look newer than the loss.
+    """
+    wall_ms, now = 1_000_000_000_000, 100.0
+    history = KeyHistory(name="a", run=run_name("a", "1"))
+    view = ServiceView(version=1, table=rendezvous_table("s", ("a",)), runs={})
+    history.on_view(view, restarted=True, versions_skipped=False, now=now, wall_ms=wall_ms)
+    key = str(uuid.UUID(int=((wall_ms + caller_step_ms) << 80) | (7 << 76) | (2 << 62)))
+    for each in (key, "untimed"):
+        verdict = history.judge(bucket_of(each.encode()), each, now + 1, wall_ms + agent_step_ms)
+        assert verdict is KeyVerdict.MAYBE_USED
+    newer = str(uuid.UUID(int=((wall_ms + CLOCK_MARGIN_MS + 1) << 80) | (7 << 76) | (2 << 62)))
+    bucket = bucket_of(newer.encode())
+    assert history.judge(bucket, newer, now + 1, wall_ms) is KeyVerdict.NEW
+    handed_on = KeyHistory(name="b", run=run_name("b", "1"))
+    runs = {"a": run_name("a", "1")}
+    for version, names in ((1, ("a",)), (2, ("b",))):
+        moved = ServiceView(version=version, table=rendezvous_table("s", names), runs=runs)
+        handed_on.on_view(
+            moved, restarted=False, versions_skipped=False, now=now + 1800, wall_ms=wall_ms
+        )
+    told = {each.bucket: each for each in history.partial(now + 1800)}
+    confirmation = Confirmation(version=2, partial=told, lost_ms=0)
+    handed_on.confirm(runs["a"], confirmation, now + 1800, wall_ms)
+    for age_s, verdict in ((3590.0, KeyVerdict.MAYBE_USED), (KEY_LIFE_S + 1, KeyVerdict.NEW)):
+        assert handed_on.judge(0, "untimed", now + age_s, wall_ms) is verdict
+    later = now + KEY_LIFE_S + 1
+    assert history.judge(bucket_of(b"untimed"), "untimed", later, wall_ms) is KeyVerdict.NEW
+
+
 @prop("requests.key_time")
 @given(st.integers(0, 2**48 - 1), st.text(max_size=40))
 def check_key_time(time_ms, text):
@@ -470,7 +508,6 @@
     other.body = body
     records.merge(key_state(1, "k", other))
     assert records.find(1, "k").body == b"first"
-    assert KEY_LIFE_MS > 0
 
 
 class RecordingStream:
--- a/features/settings.feature
+++ b/features/settings.feature
@@ -46,3 +46,27 @@
     Given the settings of "controller-1"
     When "controller" "address" is set to "nowhere"
     Then the daemon exits with status 2 and one line that names the file
+
+  Scenario Outline: A changed settings file is taken in force, or said to need a restart
+    Given the settings of "<process>"
+    And the process was started with them
+    When "<section>" "<key>" is set to "<value>"
+    Then a reload takes "<taken>" and names "<restart>" for a restart
+
+    Examples:
+      | process      | section     | key             | value            | taken             | restart                 |
+      | controller-1 | process     | log_level       | ERROR            | process.log_level |                         |
+      | balancer-1   | balancer    | max_connections | 17               |                   | balancer.max_connections |
+      | controller-1 | keys        | cluster         | 00112233445566778899aabbccddeeff |  | cluster_key             |
+      | ordering-1   | agent       | flow_idle_s     | 77               |                   | agent.flow_idle_s       |
+
+  Scenario Outline: A settings file that is refused changes nothing in a process that runs
+    Given the settings of "<process>"
+    And the process was started with them
+    When "<section>" "<key>" is set to "<value>"
+    Then a reload is refused naming "<section>" and "<key>", and the next one takes nothing
+
+    Examples:
+      | process      | section | key       | value |
+      | controller-1 | process | log_level | LOUD  |
+      | balancer-1   | process | name      | 9 x   |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -11,6 +11,7 @@
 from lentilcourse.errors import SettingsError
 from lentilcourse.lab.shapes import SAMAHAN, Layout, write_files
 from lentilcourse.settings_file import load_settings
+from lentilcourse.settings_reload import ReloadResult, SettingsReload
 
 
 @given('the settings of "{process}"')
@@ -85,3 +86,41 @@
     lines = done.stderr.strip().splitlines()
     assert len(lines) == 1 and str(context.file) in lines[0], done.stderr
     assert not (context.folder / "data").exists()
+
+
+@given("the process was started with them")
+def started(context):
+    """Keep the settings as a process that runs has them."""
+    context.reload = SettingsReload(cfg=load_settings(str(context.file)))
+    context.unchanged = context.file.read_text(encoding="utf-8")
+
+
+@then('a reload takes "{taken}" and names "{restart}" for a restart')
+def reloads(context, taken, restart):
+    """Reload twice: what was taken is in force then, what needs a restart is named again."""
+    first, second = context.reload.run(), context.reload.run()
+    assert first.taken == tuple(filter(None, [taken])), first
+    assert first.need_restart == tuple(filter(None, [restart])), first
+    assert second.taken == () and second.need_restart == first.need_restart, second
+
+
+@then('a reload takes "" and names "{restart}" for a restart')
+def reloads_nothing(context, restart):
+    """Reload a file of which nothing can be taken."""
+    reloads(context, "", restart)
+
+
+@then('a reload takes "{taken}" and names "" for a restart')
+def reloads_all(context, taken):
+    """Reload a file of which everything is taken."""
+    reloads(context, taken, "")
+
+
+@then('a reload is refused naming "{section}" and "{key}", and the next one takes nothing')
+def reload_refused(context, section, key):
+    """Reload a wrong file, then the one that the process was started with."""
+    refused = context.reload.run()
+    assert section in refused.error and key in refused.error, refused
+    assert (refused.taken, refused.need_restart) == ((), ())
+    context.file.write_text(context.unchanged, encoding="utf-8")
+    assert context.reload.run() == ReloadResult()
--- a/lentilcourse/agent/key_history.py
+++ b/lentilcourse/agent/key_history.py
@@ -26,8 +26,10 @@
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.messages.requests import PartialBucket
 
-KEY_LIFE_MS: Final = 3_600_000
-CLOCK_MARGIN_MS: Final = 2_000
+KEY_LIFE_S: Final = 3600.0
+"""Time after a loss for which a key without a time may have been used before it."""
+CLOCK_MARGIN_MS: Final = 10_000
+"""Largest difference between the clocks of a caller and an agent; clocks may jump by seconds."""
 NEVER_LOST: Final = 0
 HOLDER_GRACE_S: Final = 5.0
 """Time for which a former holder may be out of reach until its records count as lost. Streams that
@@ -95,6 +97,7 @@
             if it had all records then.
         loss_ms: wall-clock time of a loss that takes effect if no awaited run has the records.
         lost_ms: wall-clock time before which records may have been lost; `NEVER_LOST` if none.
+        lost_at: monotonic time of that loss.
     """
 
     complete: bool = False
@@ -104,6 +107,7 @@
     own_sources: frozenset[str] | None = frozenset()
     loss_ms: int = NEVER_LOST
     lost_ms: int = NEVER_LOST
+    lost_at: float = float("-inf")
 
     def expect(self, sources: Iterable[str]) -> set[str]:
         """Wait for further runs; returns those that are new."""
@@ -111,9 +115,10 @@
         self.awaited |= new
         return new
 
-    def known_loss_ms(self) -> int:
-        """Return the latest loss, also one that may still be made up for by an awaited run."""
-        return self.lost_ms if self.complete else max(self.lost_ms, self.loss_ms)
+    def known_loss_ms(self, now: float) -> int:
+        """Return the latest loss that counts, also one that an awaited run may make up for."""
+        lost_ms = self.lost_ms if now - self.lost_at <= KEY_LIFE_S else NEVER_LOST
+        return lost_ms if self.complete else max(lost_ms, self.loss_ms)
 
     def settle(self, run: str, loss_ms: int) -> None:
         """Stop waiting for a run that does not have the records."""
@@ -121,11 +126,16 @@
         self.settled.add(run)
         self.loss_ms = max(self.loss_ms, loss_ms)
 
-    def finish(self, lost_ms: int) -> None:
-        """Stop waiting: all records are here, except those lost before `lost_ms`."""
+    def finish(self, lost_ms: int, lost_at: float) -> None:
+        """Stop waiting: all records are here, except those lost before `lost_ms`.
+
+        The time of a loss that is known already stays.
+        """
         self.awaited.clear()
         self.complete = True
-        self.lost_ms = lost_ms
+        if lost_ms != self.lost_ms:
+            self.lost_ms = lost_ms
+            self.lost_at = lost_at
 
 
 class KeyHistory:
@@ -167,7 +177,7 @@
             if holds and (versions_skipped or not held):
                 runs = self._former_holders(bucket, old)
                 loss_ms = wall_ms if restarted and not self._has_table else NEVER_LOST
-                self._start_holding(history, runs, held, loss_ms)
+                self._start_holding(history, runs, held, loss_ms, now)
             elif held and not holds:
                 history.own_sources = None if history.complete else frozenset(history.awaited)
         self._has_table = True
@@ -186,21 +196,25 @@
         for run in [each for each in self._confirmed if agent_of(each) == peer]:
             del self._confirmed[run]
 
-    def lost_ms(self) -> int:
+    def lost_ms(self, now: float) -> int:
         """Return the time of the latest loss in any bucket that this agent holds."""
-        held = (history.lost_ms for bucket, history in self._indexed() if self._holds(bucket))
+        held = (
+            history.known_loss_ms(now) for bucket, history in self._indexed() if self._holds(bucket)
+        )
         return max(held, default=NEVER_LOST)
 
-    def partial(self) -> tuple[PartialBucket, ...]:
+    def partial(self, now: float) -> tuple[PartialBucket, ...]:
         """Return the buckets of which this agent misses records, or has lost some."""
         return tuple(
             PartialBucket(
                 bucket=bucket,
                 sources=() if history.complete else tuple(sorted(history.awaited)),
-                lost_ms=history.known_loss_ms(),
+                lost_ms=history.known_loss_ms(now),
+                lost_age_s=max(0.0, now - max(history.lost_at, now - KEY_LIFE_S)),
             )
             for bucket, history in self._indexed()
-            if history.known_loss_ms() != NEVER_LOST or (history.awaited and not history.complete)
+            if history.known_loss_ms(now) != NEVER_LOST
+            or (history.awaited and not history.complete)
         )
 
     def judge(self, bucket: int, key: str, now: float, wall_ms: int) -> KeyVerdict:
@@ -211,7 +225,7 @@
         self._settle(bucket, history, now, wall_ms)
         if history.awaited:
             return KeyVerdict.WAIT
-        if history.lost_ms == NEVER_LOST or wall_ms - history.lost_ms > KEY_LIFE_MS:
+        if history.lost_ms == NEVER_LOST or now - history.lost_at > KEY_LIFE_S:
             return KeyVerdict.NEW
         created_ms = key_time_ms(key)
         if created_ms is not None and created_ms > history.lost_ms + CLOCK_MARGIN_MS:
@@ -253,7 +267,7 @@
         return {runs.get(name, run_name(name, "")) for name in names}
 
     def _start_holding(
-        self, history: BucketHistory, runs: set[str], held: bool, loss_ms: int
+        self, history: BucketHistory, runs: set[str], held: bool, loss_ms: int, now: float
     ) -> None:
         """Wait for one of the former holders; `held` says that only versions were skipped."""
         history.awaited = set()
@@ -263,7 +277,7 @@
         history.complete = held and history.complete
         history.expect(runs)
         if not history.awaited:
-            history.finish(max(history.lost_ms, loss_ms))
+            history.finish(max(history.lost_ms, loss_ms), now)
 
     def _settle_all(self, now: float, wall_ms: int) -> None:
         for bucket, history in self._indexed():
@@ -279,14 +293,14 @@
             run = unseen.pop()
             confirmation = self._valid_confirmation(run, history)
             if confirmation is not None:
-                further = self._take(bucket, history, run, confirmation)
+                further = self._take(bucket, history, run, confirmation, now)
                 if further is None:
                     return
                 unseen |= further
             elif not self.may_run(run, now):
                 history.settle(run, self._ended_ms(run, now, wall_ms))
         if not history.awaited:
-            history.finish(max(history.lost_ms, history.loss_ms))
+            history.finish(max(history.lost_ms, history.loss_ms), now)
 
     def _valid_confirmation(self, run: str, history: BucketHistory) -> Confirmation | None:
         """Return a run's confirmation if it covers the bucket's move to this agent.
@@ -300,7 +314,12 @@
         return confirmation if covers else None
 
     def _take(
-        self, bucket: int, history: BucketHistory, run: str, confirmation: Confirmation
+        self,
+        bucket: int,
+        history: BucketHistory,
+        run: str,
+        confirmation: Confirmation,
+        now: float,
     ) -> set[str] | None:
         """Evaluate the confirmation of an awaited run.
 
@@ -308,13 +327,13 @@
         """
         told = confirmation.bucket(bucket)
         if not told.sources:
-            history.finish(told.lost_ms)
+            history.finish(told.lost_ms, now - told.lost_age_s)
             return None
         history.settle(run, told.lost_ms)
         if self._run not in told.sources:
             return history.expect(told.sources)
         if history.own_sources is None:
-            history.finish(history.lost_ms)
+            history.finish(history.lost_ms, now)
             return None
         others = set(told.sources) - {self._run}
         return history.expect(others | history.own_sources)
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -113,11 +113,11 @@
                 wall_ms=wall_clock_ms(),
             )
         for peer in self._live_peers:
-            self._transfer_records(peer, previous)
+            self._transfer_records(peer, previous, now)
 
     def greet(self, peer: AgentPeer, now: float) -> None:
         """Send a peer all the records that it should hold, over a newly opened stream."""
-        complete, table = self._completion_message()
+        complete, table = self._completion_message(now)
         for state in self._states_for(peer.target.name, table, EMPTY_TABLE):
             peer.send_first(state)
         peer.send_first(complete)
@@ -232,13 +232,13 @@
         with self._lock:
             self._history.revoke(name)
 
-    def _transfer_records(self, peer: str, previous: BucketTable) -> None:
-        complete, table = self._completion_message()
+    def _transfer_records(self, peer: str, previous: BucketTable, now: float) -> None:
+        complete, table = self._completion_message(now)
         for state in self._states_for(peer, table, previous):
             self._peers.send(peer, state)
         self._peers.send(peer, complete)
 
-    def _completion_message(self) -> tuple[KeysComplete, BucketTable]:
+    def _completion_message(self, now: float) -> tuple[KeysComplete, BucketTable]:
         """Return the message that ends a transfer, and the table that it was made for.
 
         It must be made before the records are collected, so that it covers no later version.
@@ -246,9 +246,9 @@
         with self._lock:
             complete = KeysComplete(
                 version=self._version,
-                lost_ms=self._history.lost_ms(),
+                lost_ms=self._history.lost_ms(now),
                 run=self.own_run,
-                partial=self._history.partial(),
+                partial=self._history.partial(now),
             )
             return complete, self._table
 
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -7,7 +7,8 @@
 
 import gc
 import sys
-from typing import Final
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Final
 
 from lentilcourse.admin import AdminServer
 from lentilcourse.errors import LentilcourseError, SettingsError
@@ -20,6 +21,9 @@
 from lentilcourse.settings_file import load_settings
 from lentilcourse.streams import TRAFFIC, start_heartbeats
 
+if TYPE_CHECKING:
+    from lentilcourse.settings_reload import SettingsReload
+
 EXIT_FAILED: Final = 1
 EXIT_SETTINGS: Final = 2
 SWITCH_INTERVAL_S: Final = 0.001
@@ -57,6 +61,7 @@
     load_plugin(cfg.process.role)
     lifecycle = Lifecycle()
     lifecycle.install_signal_handlers()
+    lifecycle.on_reload(settings_reloader(cfg))
     metrics = Metrics(process=cfg.process.name, role=cfg.process.role, domain=cfg.process.domain)
     try:
         admin = AdminServer(address=cfg.process.admin_address, lifecycle=lifecycle)
@@ -81,6 +86,20 @@
     return 0
 
 
+def settings_reloader(cfg: Settings) -> Callable[[], None]:
+    """Return the step that takes changed settings in force."""
+    reloads: list[SettingsReload] = []
+
+    def reload() -> None:
+        from lentilcourse.settings_reload import SettingsReload  # noqa: PLC0415 - rarely needed
+
+        if not reloads:
+            reloads.append(SettingsReload(cfg=cfg))
+        reloads[0].run()
+
+    return reload
+
+
 def _keep_start_out_of_collections() -> None:
     """Let the garbage collector work from here on, on what is made from here on."""
     gc.freeze()
--- a/lentilcourse/logs.py
+++ b/lentilcourse/logs.py
@@ -195,12 +195,17 @@
     """
     _output.process = process
     _output.role = role
-    _output.level = getattr(logging, level)
+    set_log_level(level)
     _output.delay_s = delay_s
     _output.configured = False
     _loggers.clear()
 
 
+def set_log_level(level: str) -> None:
+    """Set the lowest level that is logged."""
+    _output.level = getattr(logging, level)
+
+
 def flush_logs() -> None:
     """Wait a little for the last lines, at the end of the process."""
     for writer in _writers:
--- a/lentilcourse/messages/requests.py
+++ b/lentilcourse/messages/requests.py
@@ -196,11 +196,13 @@
         bucket: number of the bucket.
         sources: runs (NAME/RUN) of which one has the records that the agent still waits for.
         lost_ms: wall-clock time in ms before which records may have been lost; 0 for never.
+        lost_age_s: time since then, by the sender's steady clock.
     """
 
     bucket: int
     sources: tuple[str, ...] = ()
     lost_ms: int = 0
+    lost_age_s: float = 0.0
 
 
 @message
