Send a passed opening packet on when the target returns it

Cause: found on reading the change: a target that returns an opening packet which a busy agent had passed on was not followed up, since the stamp says PASSED and not OPEN; the caller's next copy came 0.2 s later. Declined packets also went round the agents of a small domain until their hops were used up, without a try at the other domains.

Change: both kinds of opening are sent on; a packet leaves the domain once it has been at all of its agents.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -16,6 +16,7 @@
       | steering.nobody_holds_is_reset                  |
       | steering.no_reset_while_an_agent_is_missing     |
       | steering.opening_copies_meet_one_target         |
+      | steering.returned_opening_finds_a_target        |
       | steering.wrong_service_gets_nothing             |
       | steering.drained_target_gets_no_flow            |
       | steering.nothing_is_refused_before_all_is_known |
--- a/features/properties/steering.py
+++ b/features/properties/steering.py
@@ -221,6 +221,23 @@
     assert set(holders.values()) == {1}
 
 
+@prop("steering.returned_opening_finds_a_target")
+@given(st.integers(0, 1000), st.booleans())
+def check_full(seed, busy):
+    """An opening packet that a full target returns is accepted by another one at once.
+
+    This also holds if a busy agent has passed the packet on before.
+    """
+    world = SteeringWorld(agents=9, balancers=1, seed=seed)
+    free = f"a{1 + seed % 9}"
+    for name, target in world.targets.items():
+        target.full = name != free
+        if busy and name != free and int(name[1:]) % 2:
+            world.agents[name].meter.change(3, world.now)
+    holder = world.open_flow(1)
+    assert holder is world.targets[free]
+
+
 @prop("steering.wrong_service_gets_nothing")
 @given(st.integers(0, 1000), st.booleans())
 def check_service(seed, balancer_lags):
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -70,6 +70,7 @@
     Attributes:
         agent: name of its agent.
         resets: whether it answers packets of unknown flows with a reset instead of returning them.
+        full: whether it returns opening packets.
         flows: flows that it holds.
         received: all packets that it received.
         misdelivered: flows of received packets that it does not hold.
@@ -77,6 +78,7 @@
 
     agent: str
     resets: bool = False
+    full: bool = False
     flows: set = attrs.field(factory=set)
     received: list = attrs.field(factory=list)
     misdelivered: list = attrs.field(factory=list)
@@ -315,7 +317,9 @@
         flow = raw[22:34]
         flags = raw[12]
         target.received.append(raw)
-        if flags & FLAG_SYN:
+        if flags & FLAG_SYN and target.full:
+            self._return(name, raw)
+        elif flags & FLAG_SYN:
             target.flows.add(flow)
             self._answer(name, flow, FLAG_SYN | FLAG_ACK, b"")
         elif flow in target.flows:
@@ -325,8 +329,11 @@
             self._answer(name, flow, FLAG_RST | FLAG_ACK, b"")
         else:
             target.misdelivered.append(flow)
-            returned = raw[:12] + bytes((flags | FLAG_BOUNCED,)) + raw[13:]
-            self.queue.append((returned, (f"target-{name}", 0)))
+            self._return(name, raw)
+
+    def _return(self, name, raw):
+        returned = raw[:12] + bytes((raw[12] | FLAG_BOUNCED,)) + raw[13:]
+        self.queue.append((returned, (f"target-{name}", 0)))
 
     def _answer(self, name, flow, flags, data):
         head = HEAD.pack(7, 1, 1, flags, len(data), 0, flow[6:], flow[:6])
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -63,7 +63,8 @@
 FIRST_ANNOUNCEMENT_TIMEOUT_S: Final = 2.5
 """Time after process start without an announcement after which the agent assumes that it has
 no target: twice the longest announcement interval."""
-PLACED_KINDS: Final = frozenset((Kind.OPEN, Kind.PASSED, Kind.CARRY))
+OPENING_KINDS: Final = frozenset((Kind.OPEN, Kind.PASSED))
+PLACED_KINDS: Final = OPENING_KINDS | {Kind.CARRY}
 """Datagrams whose balancer is sent load notices. Lookups reach agents that the balancer does not
 use otherwise."""
 FIRST_REQUEST_S: Final = 0.05
@@ -160,7 +161,7 @@
         with self._lock:
             if envelope.kind in PLACED_KINDS:
                 self._balancers[envelope.balancer] = now
-            if envelope.kind in (Kind.OPEN, Kind.PASSED):
+            if envelope.kind in OPENING_KINDS:
                 self._on_open(envelope, packet, least_busy, now)
             elif envelope.kind is Kind.CARRY:
                 self._on_carry(envelope, packet, now)
@@ -281,9 +282,10 @@
         hops = envelope.hops + 1
         candidates = self._peers.table().serving.get(envelope.service, ())
         near = [peer for peer in candidates if peer.domain == self._limits.domain]
-        if hops > MAX_BUSY_HOPS or len(near) <= 1:
-            near = list(candidates)
-        peer = next_candidate(packet.flow, self._limits.own_address, near)
+        may_stay = hops < len(near) and hops <= MAX_BUSY_HOPS
+        peer = next_candidate(
+            packet.flow, self._limits.own_address, near if may_stay else candidates
+        )
         if peer is None or hops > MAX_HOPS:
             self._refuse(envelope, packet, decline)
             return
@@ -482,7 +484,7 @@
             return
         kind = packet.stamp >> HOP_BITS
         hops = packet.stamp & HOP_MASK
-        if kind == Kind.OPEN and packet.opening:
+        if kind in OPENING_KINDS and packet.opening:
             envelope = self._opening_envelope(record, hops)
             self._forward_opening(envelope, packet, Decline.TARGET_FULL)
             return
--- a/lentilcourse/steering/owner_lookups.py
+++ b/lentilcourse/steering/owner_lookups.py
@@ -16,9 +16,7 @@
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.histograms import LatencyHistogram
 from lentilcourse.logs import get_logger
-from lentilcourse.steering.candidates import (
-    lookup_candidates,
-)
+from lentilcourse.steering.candidates import lookup_candidates
 from lentilcourse.steering.datagrams import (
     Envelope,
     FlowSend,
