--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PYTHON := $(VENV)/bin/python
 
-.PHONY: install demo test bench prove soak
+.PHONY: install demo test bench prove soak regression
 
 install: $(VENV)/.installed
 
@@ -27,3 +27,6 @@
 
 bench: install
 	$(PYTHON) -m lentilcourse.lab.bench
+
+regression: install
+	$(PYTHON) -m lentilcourse.lab.regression --bench $(BENCH) --sites $(SITES)
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -90,6 +90,7 @@
       | formation.many_agents_are_registered_in_parts |
       | formation.defect_in_one_datagram_stops_no_loop |
       | logging.rate_is_bounded                        |
+      | regression.gates_are_read                       |
       | logging.nobody_reads                           |
       | logging.start_renders_nothing                   |
       | logging.story_in_order                         |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -24,6 +24,7 @@
     "formation",
     "founding",
     "logging",
+    "regression",
     "soak",
 )
 
