Take the hops of opening packets out of the agent's flows

Change: steering/opening_hops.py decides where a packet goes that the own target does not take; the agent only sends it. The limit of a cold target is checked, and the flow counted, right before it is accepted.

--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -23,7 +23,6 @@
     cold_openings,
     entry_allows,
 )
-from lentilcourse.steering.candidates import MAX_BUSY_HOPS, next_candidate
 from lentilcourse.steering.datagrams import (
     BusyAgent,
     DenialNotice,
@@ -50,9 +49,10 @@
 from lentilcourse.steering.denial_memory import DenialMemory
 from lentilcourse.steering.flow_records import AgentFlowCounts, FlowRecord, FlowState, is_over
 from lentilcourse.steering.load_meter import LoadMeter
+from lentilcourse.steering.opening_hops import Opening, next_when_busy, next_when_declined
 from lentilcourse.steering.owner_searches import OwnerSearches
 from lentilcourse.steering.packet_format import FlowPacket, PacketFormat
-from lentilcourse.steering.peers import Peer, Peers
+from lentilcourse.steering.peers import Peers
 from lentilcourse.steering.routes import Routes
 from lentilcourse.steering.target_watch import TargetWatch
 
@@ -193,6 +193,9 @@
             return
         if self._passes_on(envelope, packet, least_busy, now):
             return
+        if not self._admits_cold(now):
+            self._forward_opening(envelope, packet, Decline.COLD)
+            return
         self._create_record(packet.flow, FlowState.OFFERED, envelope.balancer, now)
         self._recent_openings.append((now, packet.flow))
         self.counts.opened += 1
@@ -200,7 +203,10 @@
         self._deliver(packet, envelope)
 
     def _decline_reason(self, envelope: Envelope, packet: FlowPacket, now: float) -> Decline | None:
-        """Return the reason for declining a new flow, or None if the target can accept it."""
+        """Return the reason for declining a new flow, or None if the target can accept it.
+
+        The limit of a cold target is checked last, by `_admits_cold`, which counts the flow.
+        """
         report = self._watch.report
         if report is None or not self._watch.is_present(now):
             return Decline.NO_TARGET
@@ -217,10 +223,14 @@
         policy = self._routes.policy(report.service)
         if policy is not None and len(self._flows) >= policy.connections:
             return Decline.CONNECTIONS
-        if not self._watch.admit_opening(cold_openings(policy, self._limits), now):
-            return Decline.COLD
         return None
 
+    def _admits_cold(self, now: float) -> bool:
+        """Count a flow that is about to be accepted; returns False above a cold target's limit."""
+        report = self._watch.report
+        policy = self._routes.policy(report.service) if report is not None else None
+        return self._watch.admit_opening(cold_openings(policy, self._limits), now)
+
     def _passes_on(
         self,
         envelope: Envelope,
@@ -228,50 +238,35 @@
         least_busy: BusyAgent | None,
         now: float,
     ) -> bool:
-        """Pass an opening packet on if all slots of the target are taken; returns whether it did.
-
-        It goes to the next candidates of the domain in turn. If all of them are busy, the least
-        busy one accepts the flow.
-        """
-        if envelope.hops > MAX_BUSY_HOPS:
-            return False
-        taken = self._taken_slots(now)
+        """Pass an opening packet on if all slots are taken; returns whether it was passed on."""
+        taken = (self.meter.in_flight + self._expected_requests(now)) / self._slots()
         if taken < 1.0:
             return False
         own = BusyAgent(wait_s=taken * self.meter.service_s, address=self._limits.own_address)
-        if least_busy is None or own.wait_s < least_busy.wait_s:
-            least_busy = own
-        peer = self._next_in_domain(envelope, packet) if envelope.hops < MAX_BUSY_HOPS else None
-        if peer is not None:
-            hops, address = envelope.hops + 1, peer.address
-        elif least_busy is not own:
-            hops, address = MAX_BUSY_HOPS + 1, least_busy.address
-        else:
+        hop = next_when_busy(self._opening(envelope, packet), own, least_busy)
+        if hop is None:
             return False
         self.counts.passed_busy += 1
         raw = self._format.stamped(packet, 0)
-        passed = attrs.evolve(envelope, kind=Kind.PASSED, hops=hops)
-        self._outputs.to_peer(encode_passed(passed, least_busy, raw), address)
+        passed = attrs.evolve(envelope, kind=Kind.PASSED, hops=hop.hops)
+        self._outputs.to_peer(encode_passed(passed, hop.least_busy, raw), hop.address)
         return True
 
-    def _next_in_domain(self, envelope: Envelope, packet: FlowPacket) -> Peer | None:
-        """Return the next candidate of this agent's domain, None if all have been asked."""
-        domain = self._limits.domain
-        serving = self._peers.table().serving.get(envelope.service, ())
-        near = [peer for peer in serving if peer.domain == domain and peer.takes_passed]
-        if envelope.hops + 1 >= len(near):
-            return None
-        return next_candidate(packet.flow, self._limits.own_address, near)
-
-    def _taken_slots(self, now: float) -> float:
-        """Return requests in flight, and flows about to send their first one, for each slot."""
+    def _opening(self, envelope: Envelope, packet: FlowPacket) -> Opening:
+        return Opening(
+            flow=packet.flow,
+            hops=envelope.hops,
+            own_address=self._limits.own_address,
+            domain=self._limits.domain,
+            serving=self._peers.table().serving.get(envelope.service, ()),
+        )
+
+    def _expected_requests(self, now: float) -> int:
+        """Return the number of flows that are about to send their first request."""
         while self._recent_openings and now - self._recent_openings[0][0] > FIRST_REQUEST_S:
             self._recent_openings.popleft()
-        expected = 0
-        for _, flow in self._recent_openings:
-            record = self._flows.get(flow)
-            expected += record is not None and not record.requested_at
-        return (self.meter.in_flight + expected) / self._slots()
+        records = (self._flows.get(flow) for _, flow in self._recent_openings)
+        return sum(record is not None and not record.requested_at for record in records)
 
     def _slots(self) -> int:
         """Return the number of requests that the target processes concurrently, at least 1."""
@@ -280,12 +275,7 @@
 
     def _forward_opening(self, envelope: Envelope, packet: FlowPacket, decline: Decline) -> None:
         hops = envelope.hops + 1
-        candidates = self._peers.table().serving.get(envelope.service, ())
-        near = [peer for peer in candidates if peer.domain == self._limits.domain]
-        may_stay = hops < len(near) and hops <= MAX_BUSY_HOPS
-        peer = next_candidate(
-            packet.flow, self._limits.own_address, near if may_stay else candidates
-        )
+        peer = next_when_declined(self._opening(envelope, packet))
         if peer is None or hops > MAX_HOPS:
             self._refuse(envelope, packet, decline)
             return
