Use the one function that names a run's agent

Cause: on the last read, ask_owner took a run's name apart by itself beside `agent_of`, and a method of KeyHistory only wrapped enumerate.

Change: ask_owner calls `agent_of`; the wrapper is gone. No behaviour changes.

--- a/lentilcourse/agent/key_history.py
+++ b/lentilcourse/agent/key_history.py
@@ -17,7 +17,7 @@
 
 import enum
 import uuid
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -199,7 +199,9 @@
     def lost_ms(self, now: float) -> int:
         """Return the time of the latest loss in any bucket that this agent holds."""
         held = (
-            history.known_loss_ms(now) for bucket, history in self._indexed() if self._holds(bucket)
+            history.known_loss_ms(now)
+            for bucket, history in enumerate(self._buckets)
+            if self._holds(bucket)
         )
         return max(held, default=NEVER_LOST)
 
@@ -212,7 +214,7 @@
                 lost_ms=history.known_loss_ms(now),
                 lost_age_s=max(0.0, now - max(history.lost_at, now - KEY_LIFE_S)),
             )
-            for bucket, history in self._indexed()
+            for bucket, history in enumerate(self._buckets)
             if history.known_loss_ms(now) != NEVER_LOST
             or (history.awaited and not history.complete)
         )
@@ -240,9 +242,6 @@
         lost_since = self._lost_since.get(run)
         return is_member and (lost_since is None or now - lost_since <= HOLDER_GRACE_S)
 
-    def _indexed(self) -> Iterator[tuple[int, BucketHistory]]:
-        return enumerate(self._buckets)
-
     def _holds(self, bucket: int) -> bool:
         return self._name in self._view.table.candidates[bucket][:2]
 
@@ -280,7 +279,7 @@
             history.finish(max(history.lost_ms, loss_ms), now)
 
     def _settle_all(self, now: float, wall_ms: int) -> None:
-        for bucket, history in self._indexed():
+        for bucket, history in enumerate(self._buckets):
             if history.awaited and self._holds(bucket):
                 self._settle(bucket, history, now, wall_ms)
 
--- a/lentilcourse/agent/key_replication.py
+++ b/lentilcourse/agent/key_replication.py
@@ -24,6 +24,7 @@
     KeyHistory,
     KeyVerdict,
     ServiceView,
+    agent_of,
     run_name,
 )
 from lentilcourse.agent.peers import AgentPeer, AgentPeers
@@ -172,7 +173,7 @@
 
     def ask_owner(self, req: RequestStart, record: KeyRecord) -> None:
         """Ask the owner of a record for the outcome, whose message may have been lost."""
-        owner = record.owner.partition("/")[0]
+        owner = agent_of(record.owner)
         self._peers.send(owner, self._key_state(req.entry_id, req.idempotency_key, record, ""))
 
     @singledispatchmethod
