End the processes of a review script that is stopped early

Cause: SIGTERM ended a script without its cleanup, so its nine processes and its folder stayed; an unexpected error would have ended it with the status of a broken rule. Change: SIGTERM, SIGINT and SIGHUP, and any unexpected error, end the processes and exit with 2.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -31,6 +31,7 @@
 EXIT_HELD: Final = 0
 EXIT_BROKEN: Final = 1
 EXIT_NOT_RUN: Final = 2
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 ZONES: Final = ("guj-west-a", "guj-west-b", "guj-west-c")
 SERVICE: Final = "credit-desk"
@@ -540,6 +541,11 @@
         conn.close()
 
 
+def _stop_case(number: int, frame: object) -> None:
+    """End the case early, so that its processes are ended with it."""
+    raise NotRunError(f"stopped by {signal.Signals(number).name}")
+
+
 def run_case(folder: Path, case: Callable[[Record, Deployment, bool], bool]) -> int:
     """Run a case with or without its trouble; returns the exit status of the script."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -547,6 +553,8 @@
     if not (ROOT / "target" / "deps" / ".installed").exists():
         record.say("run the build command of deploy/system.toml first")
         return EXIT_NOT_RUN
+    for number in STOP_SIGNALS:
+        signal.signal(number, _stop_case)
     try:
         deployment = Deployment(record)
     except NotRunError as exc:
@@ -556,10 +564,12 @@
         record.write(f"trouble: {trouble}")
         deployment.start()
         held = case(record, deployment, trouble)
-    except NotRunError as exc:
-        record.say(f"not run: {exc}")
+    except Exception as exc:
+        record.say(f"not run: {type(exc).__name__}: {exc}")
         return EXIT_NOT_RUN
     finally:
+        for number in STOP_SIGNALS:
+            signal.signal(number, signal.SIG_IGN)
         deployment.stop()
     record.say("the rule held" if held else "the rule was BROKEN")
     return EXIT_HELD if held else EXIT_BROKEN
