Refuse what no log can hold, and guard the tasks that a process needs

Cause: two faults, one on the other. json.loads and the converter of message fields let values through that msgpack cannot write. The error then ended the task that writes the log, while the peer tasks went on sending heartbeats, so that the replica led for ever without writing.

Change: JSON of operators and targets must be I-JSON; a message field takes only values of its own type; a change is encoded before it is queued. A leader that cannot write its log, by whatever error, or whose queue nobody empties stops leading. The loops of all roles are started again when they end, and end the process when they keep failing. A rule that fails on a committed change refuses it at every replica. Routes, requests and datagrams that fail unexpectedly end nothing else.

--- a/features/control.feature
+++ b/features/control.feature
@@ -28,6 +28,14 @@
       | streams.unread_silence_is_noticed     |
       | streams.away_reader_is_not_late       |
       | streams.dark_peer_is_given_up_soon    |
+      | input.what_is_not_json_is_refused     |
+      | codec.accepted_messages_are_sent_on   |
+      | codec.conversions_are_refused         |
+      | consensus.unencodable_change_stops_nothing |
+      | consensus.leader_that_cannot_write_resigns |
+      | consensus.failing_rule_refuses_its_change  |
+      | tasks.guarded_loop_is_started_again   |
+      | tasks.loop_that_keeps_failing_ends_the_process |
 
   Scenario Outline: Changes survive a leader that is "<fault>"
     Given a control deployment
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -26,6 +26,7 @@
     "logging",
     "regression",
     "soak",
+    "broken_input",
 )
 
 
--- a/features/properties/consensus.py
+++ b/features/properties/consensus.py
@@ -231,7 +231,7 @@
                 address=f"10.0.0.1:{1000 + self.sequence}",
             ),
         )
-        fut = replica.propose(change)
+        fut = replica.propose(change, self.now)
         self.futures[change.change_id] = fut
         self.proposed.append(change)
         replica.write_proposals(self.now)
@@ -245,7 +245,7 @@
         change = self.proposed[index % len(self.proposed)]
         for replica in list(self.replicas.values()):
             if replica.role is Role.LEADER:
-                fut = replica.propose(change)
+                fut = replica.propose(change, self.now)
                 replica.write_proposals(self.now)
                 self.settle(None)
                 first = self.futures[change.change_id]
--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -18,8 +18,10 @@
 
 from lentilcourse.errors import LentilcourseError, PoolFullError
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Address
+from lentilcourse.sockets import accept_until
 from lentilcourse.streams import bind_tcp
 
 if TYPE_CHECKING:
@@ -28,6 +30,8 @@
 
 MAX_CONNECTIONS: Final = 32
 
+_log = get_logger(__name__)
+
 
 @attrs.frozen(kw_only=True)
 class AdminAnswer:
@@ -93,16 +97,10 @@
             return
         listener = bind_tcp(self._address)
         self._lifecycle.on_close(listener.close)
-        self._pool.submit(lambda: self._accept(listener))
+        self._lifecycle.keep_running(self._pool, lambda: self._accept(listener))
 
     def _accept(self, listener: socket.socket) -> None:
-        while not self._lifecycle.stopped.is_set():
-            try:
-                sock, _ = listener.accept()
-            except TimeoutError:
-                continue
-            except OSError:
-                return
+        for sock, _ in accept_until(listener, self._lifecycle.stopped):
             self._serve_in_task(sock)
 
     def _serve_in_task(self, sock: socket.socket) -> None:
@@ -126,6 +124,9 @@
             return route(req)
         except LentilcourseError as exc:
             return AdminAnswer(status=400, content_type="text/plain", body=str(exc).encode())
+        except Exception:
+            _log.exception("route_failed", method=req.method.decode("ascii", "replace"))
+            return AdminAnswer(status=500, body=b'{"error": "internal error"}')
 
     def _find_route(self, method: bytes, path: bytes) -> AdminRoute | None:
         exact = self._routes.get((method, path))
--- a/lentilcourse/agent/flow_counts.py
+++ b/lentilcourse/agent/flow_counts.py
@@ -16,6 +16,7 @@
     probes: int = 0
     unbuffered: int = 0
     malformed: int = 0
+    failed: int = 0
     wrong_service: int = 0
     domain_out: int = 0
     unknown_flow: int = 0
--- a/lentilcourse/agent/flow_loop.py
+++ b/lentilcourse/agent/flow_loop.py
@@ -9,6 +9,7 @@
 from lentilcourse.agent.flow_plane import FlowPlane
 from lentilcourse.agent.flow_table import Flow
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
 from lentilcourse.options import Address
 from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
@@ -16,6 +17,8 @@
 TICK_S: Final = 0.5
 DATAGRAMS_PER_TURN: Final = 64
 
+_log = get_logger(__name__)
+
 
 class FlowLoop:
     """Owns the agent's packet socket and watches the channels of all flows."""
@@ -53,15 +56,22 @@
         packet_socket = self._socket.fileno()
         while not self._lifecycle.stopped.is_set():
             for ready, _ in self._selector.select(timeout=POLL_S):
-                if ready.fd == packet_socket:
-                    self._read_datagrams(plane)
-                else:
-                    plane.on_channel_readable(ready.fd, time.monotonic())
+                try:
+                    self._handle_ready(plane, ready.fd, ready.fd == packet_socket)
+                except Exception:
+                    plane.counts.failed += 1
+                    _log.exception("datagram_failed")
             now = time.monotonic()
             if now >= self._next_tick:
                 self._next_tick = now + TICK_S
                 plane.on_tick(now)
 
+    def _handle_ready(self, plane: FlowPlane, descriptor: int, is_packet_socket: bool) -> None:
+        if is_packet_socket:
+            self._read_datagrams(plane)
+        else:
+            plane.on_channel_readable(descriptor, time.monotonic())
+
     def _read_datagrams(self, plane: FlowPlane) -> None:
         for _ in range(DATAGRAMS_PER_TURN):
             try:
--- a/lentilcourse/agent/role.py
+++ b/lentilcourse/agent/role.py
@@ -135,10 +135,13 @@
     def start(self) -> None:
         """Start all tasks."""
         tasks = self.lifecycle.pool(name="agent", limit=4)
-        tasks.submit(lambda: self.loop.run(self.flows))
-        tasks.submit(self.listener.run)
-        tasks.submit(self.monitor.run)
-        tasks.submit(self._run_limit_updates)
+        for loop in (
+            lambda: self.loop.run(self.flows),
+            self.listener.run,
+            self.monitor.run,
+            self._run_limit_updates,
+        ):
+            self.lifecycle.keep_running(tasks, loop)
         self.subscription.start()
 
     def _serve(self, stream: Stream) -> None:
--- a/lentilcourse/agent/target.py
+++ b/lentilcourse/agent/target.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import enum
-import json
 import socket
 import threading
 import time
@@ -17,11 +16,12 @@
 from typing import Final
 
 import attrs
-import cattrs
 
 from lentilcourse.admin import AdminAnswer, AdminServer
+from lentilcourse.codec import structure
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.http_server import HttpRequest
+from lentilcourse.json_text import read_json
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.logs import get_logger
 from lentilcourse.messages.state import Announcement
@@ -76,7 +76,7 @@
 def read_announcement(body: bytes) -> TargetAnnouncement:
     """Parse and validate an announcement; raises `InvalidAnnouncementError`."""
     try:
-        announcement = cattrs.structure(json.loads(body), TargetAnnouncement)
+        announcement = structure(read_json(body), TargetAnnouncement)
         parse_name(announcement.service)
         for text in (announcement.udp_address, announcement.http_address):
             if text:
--- a/lentilcourse/balancer/packet_path.py
+++ b/lentilcourse/balancer/packet_path.py
@@ -14,6 +14,7 @@
 from lentilcourse.errors import PacketError
 from lentilcourse.geneve import PLAIN_HEADER, PacketLabel, decode_plain, encode_label
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
 from lentilcourse.model import Entry, State
 from lentilcourse.options import Address
 from lentilcourse.packets import (
@@ -25,6 +26,8 @@
 from lentilcourse.service_keys import entry_service_key
 from lentilcourse.sockets import MAX_DATAGRAM_BYTES, open_datagram_socket
 
+_log = get_logger(__name__)
+
 
 @attrs.define(kw_only=True)
 class PacketCounts:
@@ -35,6 +38,8 @@
     malformed: int = 0
     unknown_service: int = 0
     no_target: int = 0
+    unread: int = 0
+    failed: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -97,7 +102,11 @@
             except TimeoutError:
                 continue
             except OSError:
-                return
+                if not stopped.is_set():
+                    self.counts.unread += 1
+            except Exception:
+                self.counts.failed += 1
+                _log.exception("datagram_failed")
 
     def carry_one(self) -> None:
         """Wait for one datagram and carry it; raises `TimeoutError` if none comes."""
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -46,6 +46,7 @@
     http_status,
     system_refusal,
 )
+from lentilcourse.sockets import accept_until
 from lentilcourse.streams import bind_tcp
 from lentilcourse.subscription import StateCopy
 
@@ -164,13 +165,7 @@
 
     def run(self) -> None:
         """Accept connections until the process is asked to stop."""
-        while not self._lifecycle.stopping.is_set():
-            try:
-                sock, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            except OSError:
-                return
+        for sock, _ in accept_until(self._listener, self._lifecycle.stopping):
             self._serve_in_task(sock)
         self._listener.close()
 
--- a/lentilcourse/balancer/role.py
+++ b/lentilcourse/balancer/role.py
@@ -60,8 +60,8 @@
     lifecycle.on_drain(requests.drain)
     _add_metrics(context.metrics, packets, requests, copy, refusals)
     tasks = lifecycle.pool(name="balancer", limit=2)
-    tasks.submit(packets.run)
-    tasks.submit(requests.run)
+    for loop in (packets.run, requests.run):
+        lifecycle.keep_running(tasks, loop)
     subscription.start()
 
 
--- a/lentilcourse/controller/machine.py
+++ b/lentilcourse/controller/machine.py
@@ -12,12 +12,16 @@
 
 import attrs
 
-from lentilcourse.actions import Change, Outcome, subject, summarize
+from lentilcourse import error_texts
+from lentilcourse.actions import Change, Outcome, Verdict, subject, summarize
 from lentilcourse.changes import decide_change
 from lentilcourse.codec import pack_record, unpack_record
+from lentilcourse.logs import get_logger
 from lentilcourse.messages.operators import AuditRecord, AuditRequest
 from lentilcourse.model import State, StateDelta, apply_delta
 
+_log = get_logger(__name__)
+
 MAX_OUTCOMES: Final = 20_000
 MAX_AUDIT_RECORDS: Final = 20_000
 MAX_DELTAS: Final = 1_000
@@ -60,14 +64,35 @@
         if first is not None:
             return first
         before = self.state.version
-        outcome, delta = decide_change(self.state, change)
+        outcome, delta, self.state = self._decide(change)
         if delta is not None:
-            self.state = apply_delta(self.state, delta)
             self._keep_delta(delta)
         self._keep_outcome(outcome)
         self._append_audit_record(change, outcome, before)
         return outcome
 
+    def _decide(self, change: Change) -> tuple[Outcome, StateDelta | None, State]:
+        """Return the outcome, the delta and the state after it.
+
+        A change that makes the rules fail is refused: every replica meets it at the same entry,
+        and none could apply what follows.
+        """
+        try:
+            outcome, delta = decide_change(self.state, change)
+            state = apply_delta(self.state, delta) if delta is not None else self.state
+        except MemoryError:
+            raise
+        except Exception as exc:
+            _log.exception("change_failed", change_id=change.change_id)
+            outcome = Outcome(
+                change_id=change.change_id,
+                verdict=Verdict.INVALID,
+                version=self.state.version,
+                reason=error_texts.CHANGE_FAILED.format(cause=type(exc).__name__),
+            )
+            return outcome, None, self.state
+        return outcome, delta, state
+
     def _keep_delta(self, delta: StateDelta) -> None:
         """Keep a delta for subscribers and evict the oldest above `MAX_DELTA_BYTES`."""
         self._deltas.append(delta)
--- a/lentilcourse/controller/progress.py
+++ b/lentilcourse/controller/progress.py
@@ -61,8 +61,14 @@
 
 @attrs.frozen(kw_only=True)
 class Proposal:
-    """A change or membership queued to be appended to the log."""
+    """An entry queued to be appended to the log: a change, a membership or neither.
 
-    change: Change | None
-    membership: Membership | None
-    fut: Future[Outcome | None]
+    Attributes:
+        queued_at: time at which it was queued (monotonic seconds).
+        fut: completes when the entry is applied, fails when it is dropped.
+    """
+
+    queued_at: float
+    change: Change | None = None
+    membership: Membership | None = None
+    fut: Future[Outcome | None] = attrs.field(factory=Future)
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -16,6 +16,7 @@
 
 from lentilcourse import error_texts
 from lentilcourse.actions import Change, Outcome
+from lentilcourse.codec import check_encodable
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import member_address
@@ -95,7 +96,11 @@
         self._lifecycle = lifecycle
 
     def submit(self, change: Change) -> Outcome:
-        """Return the outcome of a change; raises `ProposalUnknownError` after the timeout."""
+        """Return the outcome of a change; raises `ProposalUnknownError` after the timeout.
+
+        Raises `UnencodableError` for a change that no log can hold.
+        """
+        check_encodable(change)
         deadline = time.monotonic() + PROPOSAL_TIMEOUT_S
         while True:
             outcome = self._known_outcome(change.change_id)
@@ -133,7 +138,7 @@
         return self._changes.ask(self._replica.leader(), msg, ChangeReply).outcome
 
     def _submit_local(self, change: Change, deadline: float) -> Outcome:
-        fut = self._replica.propose(change)
+        fut = self._replica.propose(change, time.monotonic())
         outcome = await_commit(fut, max(0.0, deadline - time.monotonic()))
         if outcome is None:
             raise _unknown_outcome_error()
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -24,6 +24,7 @@
 from lentilcourse import error_texts
 from lentilcourse.actions import Change, Outcome, change_size
 from lentilcourse.clocks import MS_PER_S
+from lentilcourse.codec import check_encodable
 from lentilcourse.controller.log_store import LogStore, Snapshot, Vote
 from lentilcourse.controller.machine import CatalogueMachine
 from lentilcourse.controller.progress import PeerProgress, PeerView, Proposal, Role
@@ -165,10 +166,27 @@
                 if now - self._quorum_contact(now) > self._election_timeout_s:
                     _log.warning("leader_lost_quorum", term=self.term)
                     self._become_follower(now)
+                elif self._writer_is_stuck(now):
+                    self.resign("log is not written", now)
                 return
             if now >= self._election_due:
                 self._start_pre_vote(now)
 
+    def resign(self, cause: str, now: float) -> None:
+        """Stop leading, so that a replica that can write its log is elected."""
+        with self.changed:
+            if self.role is not Role.LEADER:
+                return
+            _log.error("leader_resigned", term=self.term, cause=cause)
+            self._become_follower(now)
+
+    def _writer_is_stuck(self, now: float) -> bool:
+        """Return whether the oldest proposal has waited in the queue for an election timeout."""
+        with self._proposals_lock:
+            if not self._proposals:
+                return False
+            return now - self._proposals[0].queued_at > self._election_timeout_s
+
     # Bootstrap and proposals.
 
     def bootstrap(self, membership: Membership) -> None:
@@ -182,9 +200,13 @@
             self._store.append([LogEntry(index=1, term=0, membership=membership)])
             self.changed.notify_all()
 
-    def propose(self, change: Change) -> Future[Outcome | None]:
-        """Queue a change; the future completes when it is applied or fails when it is dropped."""
-        return self._enqueue(Proposal(change=change, membership=None, fut=Future()))
+    def propose(self, change: Change, now: float) -> Future[Outcome | None]:
+        """Queue a change; the future completes when it is applied or fails when it is dropped.
+
+        Raises `UnencodableError` for a change that no log can hold.
+        """
+        check_encodable(change)
+        return self._enqueue(Proposal(change=change, queued_at=now))
 
     def propose_membership(self, verb: str, member: Member, now: float) -> Future[Outcome | None]:
         """Queue a membership change of one member; raises `ChangeRefusedError` if it is unsafe."""
@@ -193,7 +215,7 @@
             self._require_no_pending_membership_change()
             proposed = changed_membership(self._store.membership(), verb, member)
             self._require_safe_membership(verb, member, proposed, now)
-            proposal = Proposal(change=None, membership=proposed, fut=Future())
+            proposal = Proposal(membership=proposed, queued_at=now)
         return self._enqueue(proposal)
 
     def write_proposals(self, now: float) -> None:
@@ -208,10 +230,10 @@
             ]
             try:
                 self._store.append(entries)
-            except StorageError as exc:
-                _log.error("log_write_failed", error=str(exc))
-                _fail_proposals(batch, exc)
-                self._become_follower(now)
+            except Exception as exc:
+                _log.exception("log_write_failed")
+                _fail_proposals(batch, StorageError(str(exc)))
+                self.resign("log write failed", now)
                 return
             for entry, proposal in zip(entries, batch, strict=True):
                 self._pending_results[entry.index] = (entry.term, proposal.fut)
@@ -501,7 +523,7 @@
         self._peers = {}
         self._update_peers(now)
         _log.info("leader_elected", term=self.term, replica=self.replica_id)
-        self._enqueue(Proposal(change=None, membership=None, fut=Future()))
+        self._enqueue(Proposal(queued_at=now))
         self.changed.notify_all()
 
     def _become_follower(self, now: float) -> None:
--- a/lentilcourse/controller/replication.py
+++ b/lentilcourse/controller/replication.py
@@ -62,8 +62,11 @@
 
     def start(self) -> None:
         """Start the timer task, which also starts the peer tasks, and the log writer task."""
-        self._pool.submit(self._run_timer)
-        self._pool.submit(self._run_log)
+        for loop in (self._run_timer, self._run_log):
+            self._lifecycle.keep_running(self._pool, loop, self._resign)
+
+    def _resign(self) -> None:
+        self._replica.resign("a task of the replica has ended", time.monotonic())
 
     def _run_timer(self) -> None:
         while not self._lifecycle.stopped.wait(timeout=TICK_S):
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -207,13 +207,13 @@
     def start(self) -> None:
         """Start all background tasks."""
         self.driver.start()
-        self._tasks.submit(self._listener.run)
+        loops = [self._listener.run]
         if self.formation is None:
-            self._tasks.submit(self._run_leases)
+            loops.append(self._run_leases)
         else:
-            self._tasks.submit(self.formation.run)
-            self._tasks.submit(self.relay.run)
-            self._tasks.submit(self._run_registrations)
+            loops += [self.formation.run, self.relay.run, self._run_registrations]
+        for loop in loops:
+            self.lifecycle.keep_running(self._tasks, loop)
         if self.replica.damaged:
             _log.warning("log_damaged", replica=self.replica.replica_id)
 
@@ -279,6 +279,9 @@
             raise
         except LentilcourseError as exc:
             return Failure(code=type(exc).__name__, text=str(exc))
+        except Exception as exc:
+            _log.exception("request_failed", message=type(msg).__name__)
+            return Failure(code=type(exc).__name__, text=error_texts.REQUEST_FAILED)
 
     def _run_leases(self) -> None:
         leader_since = 0.0
--- a/lentilcourse/daemon.py
+++ b/lentilcourse/daemon.py
@@ -83,7 +83,7 @@
     _keep_start_out_of_collections()
     lifecycle.run_until_stopped()
     flush_logs()
-    return 0
+    return EXIT_FAILED if lifecycle.failed else 0
 
 
 def settings_reloader(cfg: Settings) -> Callable[[], None]:
--- a/lentilcourse/errors.py
+++ b/lentilcourse/errors.py
@@ -35,6 +35,10 @@
     """The peer sent bytes that are not a valid message."""
 
 
+class UnencodableError(LentilcourseError):
+    """A message or record holds a value that cannot be written as msgpack."""
+
+
 class AuthenticationError(StreamError):
     """The peer did not prove that it holds the expected key."""
 
--- a/lentilcourse/logs.py
+++ b/lentilcourse/logs.py
@@ -139,7 +139,7 @@
     def _write(self, event: LogEvent) -> None:
         try:
             print(render(event), file=self._stream, flush=True)
-        except (OSError, ValueError):
+        except Exception:  # the writer must outlive any event, and has no place to report to
             self.dropped += 1
 
 
--- a/lentilcourse/platform/fields.py
+++ b/lentilcourse/platform/fields.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from typing import Any, Final
 
 from lentilcourse.errors import LentilcourseError
+from lentilcourse.json_text import read_json
 
 MAX_NUMBER: Final = 2**63 - 1
 
@@ -18,8 +18,8 @@
 def read_object(body: bytes) -> Mapping[str, Any]:
     """Return the object of a JSON body; raises `MalformedCallError`."""
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as exc:
+        value = read_json(body)
+    except ValueError as exc:
         raise MalformedCallError(f"body is no JSON: {exc}") from exc
     return as_object(value, "body")
 
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -106,10 +106,13 @@
     def start(self) -> None:
         """Start the tasks of the agent."""
         tasks = self._lifecycle.pool(name="steering", limit=4)
-        tasks.submit(lambda: self.peer_loop.run(self.flows.on_peer))
-        tasks.submit(lambda: self._target_loop.run(self.flows.on_target))
-        tasks.submit(self._run_maintenance)
-        tasks.submit(self._run_searches)
+        for loop in (
+            lambda: self.peer_loop.run(self.flows.on_peer),
+            lambda: self._target_loop.run(self.flows.on_target),
+            self._run_maintenance,
+            self._run_searches,
+        ):
+            self._lifecycle.keep_running(tasks, loop)
         self.view.subscription.start()
 
     def notice(self) -> AgentNotice:
--- a/lentilcourse/steering/balancer_role.py
+++ b/lentilcourse/steering/balancer_role.py
@@ -82,8 +82,11 @@
     metrics.counter("lentilcourse.packets.malformed", lambda: caller_loop.malformed)
     metrics.counter("lentilcourse.packets.unsent", lambda: caller_loop.unsent + agent_loop.unsent)
     tasks = lifecycle.pool(name="steering", limit=4)
-    tasks.submit(lambda: caller_loop.run(flows.on_caller))
-    tasks.submit(lambda: agent_loop.run(flows.on_notice))
-    tasks.submit(sweep)
-    tasks.submit(lambda: pacer.run(lifecycle, time.monotonic))
+    for loop in (
+        lambda: caller_loop.run(flows.on_caller),
+        lambda: agent_loop.run(flows.on_notice),
+        sweep,
+        lambda: pacer.run(lifecycle, time.monotonic),
+    ):
+        lifecycle.keep_running(tasks, loop)
     view.subscription.start()
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -37,7 +37,7 @@
 from lentilcourse.logs import get_logger
 from lentilcourse.messages.base import Challenge, Failure, Heartbeat, Hello, Welcome
 from lentilcourse.options import Address
-from lentilcourse.sockets import is_readable
+from lentilcourse.sockets import accept_until, is_readable
 
 HEARTBEAT_INTERVAL_S: Final = 0.5
 HEARTBEAT_DEADLINE_S: Final = 2.0
@@ -400,7 +400,7 @@
     """Start the heartbeat task of this process."""
     lifecycle.on_close(_heartbeats.close_all)
     pool = lifecycle.pool(name="heartbeat", limit=1)
-    pool.submit(lambda: _heartbeats.run(lifecycle))
+    lifecycle.keep_running(pool, lambda: _heartbeats.run(lifecycle))
 
 
 class StreamListener:
@@ -433,13 +433,7 @@
 
     def run(self) -> None:
         """Accept until the process has stopped."""
-        while not self._lifecycle.stopped.is_set():
-            try:
-                sock, peer = self._socket.accept()
-            except TimeoutError:
-                continue
-            except OSError:
-                return
+        for sock, peer in accept_until(self._socket, self._lifecycle.stopped):
             self._start(sock, f"{peer[0]}:{peer[1]}")
 
     def _start(self, sock: socket.socket, remote: str) -> None:
--- a/lentilcourse/subscription.py
+++ b/lentilcourse/subscription.py
@@ -218,8 +218,8 @@
 
     def start(self) -> None:
         """Start the reading and the reporting task."""
-        self._pool.submit(self._run)
-        self._pool.submit(self._run_reports)
+        self._lifecycle.keep_running(self._pool, self._run)
+        self._lifecycle.keep_running(self._pool, self._run_reports)
 
     def send_report(self) -> None:
         """Report now, without waiting for the interval."""
