Append an order only while its caller still waits for it

A frozen controller read an order whose caller had long sent it elsewhere and given another one since, and executed it.

Cause: an order on a domain carries neither version nor time, and was executed whenever it was read. It could wait in a listener's queue, a socket, a proposal tried again for 3 s, or a change forwarded to a frozen leader. In the product's own interface only the creation of an entry is without a version, and could undo a later deletion.

A target's leave that may be older than its present run does not end that run. The replica's times are boot time, which goes on while a VM is suspended.

Why it works: what the leader appends later is later in the log, and a deposed leader commits nothing; so no order takes effect after one that its caller had acknowledged later. No state or record changes, so builds may be mixed; an earlier leader or follower acts as before.

--- a/features/control.feature
+++ b/features/control.feature
@@ -36,6 +36,11 @@
       | consensus.failing_rule_refuses_its_change  |
       | tasks.guarded_loop_is_started_again   |
       | tasks.loop_that_keeps_failing_ends_the_process |
+      | orders.last_acknowledged_order_wins   |
+      | orders.expired_order_is_not_appended  |
+      | orders.converted_time_is_never_late   |
+      | orders.queued_connection_is_old       |
+      | orders.late_leave_ends_no_later_run   |
 
   Scenario Outline: Changes survive a leader that is "<fault>"
     Given a control deployment
@@ -138,3 +143,23 @@
       | address         | 10.77.0.300:1  | address    |
       | address         | 10.77.0.5:4000 | address    |
       | owner           | no/such        | owner      |
+
+  Scenario Outline: A frozen <role> executes no order whose caller has turned elsewhere: <first>, <end>
+    Given three controllers of the platform with a configuration
+    When a domain is "<first>" and a frozen <role> holds an order to set it "<second>"
+    And the domain is "<first>" again before the caller of the held order has "<end>"
+    Then the held order is refused, and the domain stays "<first>"
+
+    Examples:
+      | role     | first | second | end    |
+      | follower | out   | in     | closed |
+      | follower | out   | in     | stayed |
+      | follower | in    | out    | stayed |
+      | leader   | out   | in     | stayed |
+      | leader   | in    | out    | closed |
+
+  Scenario: A frozen controller executes no change whose operator has given up
+    Given a control deployment
+    When a frozen controller holds a change that creates an entry for 4.6 seconds
+    And the entry is created and deleted through the others, and the controller goes on
+    Then the entry does not exist, and the held change was refused
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -27,6 +27,7 @@
     "regression",
     "soak",
     "broken_input",
+    "orders",
 )
 
 
--- a/features/properties/broken_input.py
+++ b/features/properties/broken_input.py
@@ -189,7 +189,7 @@
     fut = leader.propose(change("valid", catalogue(1, "s")), machine.now)
     leader.write_proposals(machine.now)
     machine.settle(None)
-    assert fut.result().verdict is Verdict.ACCEPTED
+    assert fut.result(timeout=1.0).verdict is Verdict.ACCEPTED
     machine.teardown()
 
 
@@ -201,7 +201,7 @@
     append, store.append = store.append, lambda entries: 1 / 0
     fut = leader.propose(change("fails", catalogue(1, "s")), machine.now)
     leader.write_proposals(machine.now)
-    assert leader.role is Role.FOLLOWER and isinstance(fut.exception(), StorageError)
+    assert leader.role is Role.FOLLOWER and isinstance(fut.exception(timeout=1.0), StorageError)
     store.append = append
     machine.elect("a", None)
     leader.write_proposals = lambda now: None
@@ -257,5 +257,7 @@
     lifecycle = Lifecycle()
     pool = lifecycle.pool(name="guarded", limit=1)
     lifecycle.keep_running(pool, lambda: 1 / 0)
-    assert lifecycle.stopped.wait(timeout=2.0 + MAX_RESTARTS) and lifecycle.failed
+    given_up = lifecycle.stopped.wait(timeout=2.0 + MAX_RESTARTS)
+    lifecycle.stopped.set()
     pool.close()
+    assert given_up and lifecycle.failed
--- a/features/steps/control_steps.py
+++ b/features/steps/control_steps.py
@@ -13,15 +13,17 @@
 from behave import given, then, when
 from deployments import CONTROL, Deployment
 
-from lentilcourse.actions import PutEntry, Verdict
+from lentilcourse.actions import DeleteEntry, PutEntry, Verdict
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.ids import new_id
 from lentilcourse.lab.cluster import wait_until
 from lentilcourse.lab.links import LinkBoard
 from lentilcourse.lab.shapes import Layout
+from lentilcourse.messages.base import Failure
 from lentilcourse.messages.consensus import ChangeReply
 from lentilcourse.messages.operators import AuditRequest, ProposeChange, StateReply, StateRequest
 from lentilcourse.operator_client import is_accepted
+from lentilcourse.streams import KIND_OPERATOR, Identity, connect_stream
 
 SETTLE_S = 40.0
 
@@ -437,3 +439,37 @@
 def entry_unchanged(context, name):
     """Compare the entry."""
     assert context.cluster.operator.state().entries[name] == context.before
+
+
+@when("a frozen controller holds a change that creates an entry for {seconds:f} seconds")
+def hold_change(context, seconds):
+    """Send a change to a follower that freezes after the handshake."""
+    cluster = context.cluster
+    leader = cluster.wait_leader()
+    context.frozen = next(each for each in cluster.layout.controllers() if each != leader)
+    operator = cluster.operator
+    identity = Identity(name="operator-1", kind=KIND_OPERATOR, key=operator.settings.operator_key)
+    context.held = connect_stream(operator.controllers[context.frozen], identity)
+    cluster.signal(context.frozen, signal.SIGSTOP)
+    context.held.send(ProposeChange(change_id=new_id(), edit_version=0, action=put(1)))
+    time.sleep(seconds)
+
+
+@when("the entry is created and deleted through the others, and the controller goes on")
+def create_and_delete(context):
+    """Change the entry twice while the held change waits."""
+    cluster = context.cluster
+    created = cluster.operator.change(put(1), 0)
+    deleted = cluster.operator.change(DeleteEntry(name=put(1).name), created.version)
+    assert is_accepted(created) and is_accepted(deleted), (created, deleted)
+    cluster.signal(context.frozen, signal.SIGCONT)
+
+
+@then("the entry does not exist, and the held change was refused")
+def not_created(context):
+    """The frozen controller has read the change and not executed it."""
+    context.held.set_timeout(5.0)
+    answer = context.held.receive()
+    context.held.close()
+    assert isinstance(answer, Failure) and answer.code == "OrderExpiredError", answer
+    assert put(1).name not in context.cluster.operator.state().entries
--- a/lentilcourse/admin.py
+++ b/lentilcourse/admin.py
@@ -21,7 +21,7 @@
 from lentilcourse.logs import get_logger
 from lentilcourse.metrics import Metrics
 from lentilcourse.options import Address
-from lentilcourse.sockets import accept_until
+from lentilcourse.sockets import Accepted, accept_until
 from lentilcourse.streams import bind_tcp
 
 if TYPE_CHECKING:
@@ -100,19 +100,19 @@
         self._lifecycle.keep_running(self._pool, lambda: self._accept(listener))
 
     def _accept(self, listener: socket.socket) -> None:
-        for sock, _ in accept_until(listener, self._lifecycle.stopped):
-            self._serve_in_task(sock)
+        for accepted in accept_until(listener, self._lifecycle.stopped):
+            self._serve_in_task(accepted)
 
-    def _serve_in_task(self, sock: socket.socket) -> None:
+    def _serve_in_task(self, accepted: Accepted) -> None:
         try:
-            self._pool.submit(lambda: self._serve(sock))
+            self._pool.submit(lambda: self._serve(accepted))
         except PoolFullError:
-            sock.close()
+            accepted.sock.close()
 
-    def _serve(self, sock: socket.socket) -> None:
+    def _serve(self, accepted: Accepted) -> None:
         from lentilcourse.admin_connection import serve_connection  # noqa: PLC0415
 
-        serve_connection(sock, self.answer, lambda: not self._lifecycle.stopped.is_set())
+        serve_connection(accepted, self.answer, lambda: not self._lifecycle.stopped.is_set())
 
     def answer(self, req: HttpRequest) -> AdminAnswer:
         """Return the answer to a request."""
--- a/lentilcourse/admin_connection.py
+++ b/lentilcourse/admin_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 
 import h11
@@ -14,13 +13,14 @@
     HttpServerConnection,
     WaitCheck,
 )
+from lentilcourse.sockets import Accepted
 
 
 def serve_connection(
-    sock: socket.socket, answer: Callable[[HttpRequest], AdminAnswer], keep_waiting: WaitCheck
+    accepted: Accepted, answer: Callable[[HttpRequest], AdminAnswer], keep_waiting: WaitCheck
 ) -> None:
     """Answer the requests of a connection until either end closes it."""
-    conn = HttpServerConnection(sock=sock)
+    conn = HttpServerConnection(sock=accepted.sock, opened_after=accepted.opened_after)
     try:
         while conn.wait_for_request(keep_waiting):
             req = conn.read_request()
--- a/lentilcourse/balancer/request_path.py
+++ b/lentilcourse/balancer/request_path.py
@@ -165,8 +165,8 @@
 
     def run(self) -> None:
         """Accept connections until the process is asked to stop."""
-        for sock, _ in accept_until(self._listener, self._lifecycle.stopping):
-            self._serve_in_task(sock)
+        for accepted in accept_until(self._listener, self._lifecycle.stopping):
+            self._serve_in_task(accepted.sock)
         self._listener.close()
 
     def drain(self) -> None:
--- a/lentilcourse/controller/directory_relay.py
+++ b/lentilcourse/controller/directory_relay.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import Final
 
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.controller.replica import Replica
 from lentilcourse.directory import AgentList, AgentNotice, Directory
 from lentilcourse.errors import LentilcourseError
@@ -48,7 +48,7 @@
     def run(self) -> None:
         """Start a task for each new or disconnected member until the process stops."""
         while not self._lifecycle.stopped.wait(timeout=RELAY_CHECK_INTERVAL_S):
-            self._directory.expire(time.monotonic())
+            self._directory.expire(boot_time_s())
             for member in self._replica.membership().members:
                 self._start_peer_task(member)
 
@@ -77,7 +77,7 @@
         sent_version = -1
         refresh_due = 0.0
         while self._replica.membership().find(member.replica_id) is not None:
-            now = time.monotonic()
+            now = boot_time_s()
             self._local_directory.expire(now)
             version = self._local_directory.version
             if now >= refresh_due:
--- a/lentilcourse/controller/formation.py
+++ b/lentilcourse/controller/formation.py
@@ -9,12 +9,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Sequence
 from typing import Final
 
 import attrs
 
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.controller.membership import due_membership_change
 from lentilcourse.controller.progress import Role
 from lentilcourse.controller.proposals import await_commit
@@ -113,10 +113,10 @@
 
     def run(self) -> None:
         """Run steps until the process stops."""
-        self._leader_seen_at = time.monotonic()
+        self._leader_seen_at = boot_time_s()
         while not self._lifecycle.stopped.wait(timeout=CHECK_INTERVAL_S):
             try:
-                self.step(time.monotonic())
+                self.step(boot_time_s())
             except LentilcourseError as exc:
                 _log.info("formation_retry", error=str(exc))
 
@@ -124,7 +124,7 @@
         """Repair the group as its leader; otherwise bootstrap or join it where needed."""
         if self._replica.role is Role.LEADER:
             self._leader_seen_at = now
-            while self._apply_due_change(time.monotonic()):
+            while self._apply_due_change(boot_time_s()):
                 continue
             return
         if self._replica.leader_id:
--- a/lentilcourse/controller/leases.py
+++ b/lentilcourse/controller/leases.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(kw_only=True)
 class Lease:
-    """Last announcement of a target and its arrival time (monotonic seconds)."""
+    """Last announcement of a target and its arrival time (boot time)."""
 
     announcement: Announcement
     renewed: float
--- a/lentilcourse/controller/progress.py
+++ b/lentilcourse/controller/progress.py
@@ -4,12 +4,15 @@
 
 import enum
 from concurrent.futures import Future
+from typing import Final
 
 import attrs
 
 from lentilcourse.actions import Change, Outcome
 from lentilcourse.messages.consensus import Member, Membership
 
+NEVER: Final = float("inf")
+
 
 class Role(enum.Enum):
     """Role of a replica in the current term."""
@@ -22,7 +25,7 @@
 
 @attrs.define(kw_only=True)
 class PeerProgress:
-    """State that a leader or candidate keeps for one peer; times are monotonic seconds.
+    """State that a leader or candidate keeps for one peer; times are boot time.
 
     Attributes:
         next_index: index of the next entry to send.
@@ -64,11 +67,35 @@
     """An entry queued to be appended to the log: a change, a membership or neither.
 
     Attributes:
-        queued_at: time at which it was queued (monotonic seconds).
+        queued_at: time at which it was queued (boot time).
+        expires: time after which the entry must not be appended any more (boot time).
         fut: completes when the entry is applied, fails when it is dropped.
     """
 
     queued_at: float
+    expires: float = NEVER
     change: Change | None = None
     membership: Membership | None = None
     fut: Future[Outcome | None] = attrs.field(factory=Future)
+
+
+@attrs.frozen(kw_only=True)
+class LeaderClock:
+    """How far the leader's clock is ahead of this controller's, at least.
+
+    Attributes:
+        term: term of the leader; each has one leader, whose process does not restart in it.
+        lead_s: leader's time minus the local time, in seconds; too small by the time that the
+            leader's last message was on its way.
+    """
+
+    term: int
+    lead_s: float
+
+
+@attrs.frozen(kw_only=True)
+class LeaderDeadline:
+    """A time by the clock of the leader of a term, in ms."""
+
+    term: int
+    expires_ms: int
--- a/lentilcourse/controller/proposals.py
+++ b/lentilcourse/controller/proposals.py
@@ -14,13 +14,21 @@
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import Final, TypeVar
 
+import attrs
+
 from lentilcourse import error_texts
 from lentilcourse.actions import Change, Outcome
+from lentilcourse.clocks import MS_PER_S, boot_time_s
 from lentilcourse.codec import check_encodable
-from lentilcourse.controller.progress import Role
+from lentilcourse.controller.progress import NEVER, Role
 from lentilcourse.controller.replica import Replica
 from lentilcourse.controller.replication import member_address
-from lentilcourse.errors import NotLeaderError, ProposalUnknownError, StreamError
+from lentilcourse.errors import (
+    NotLeaderError,
+    OrderExpiredError,
+    ProposalUnknownError,
+    StreamError,
+)
 from lentilcourse.kernel.lifecycle import Lifecycle
 from lentilcourse.messages.consensus import ChangeReply, ForwardChange, Member
 from lentilcourse.messages.state import ForwardAnnouncement
@@ -95,27 +103,38 @@
         self._announcements = LeaderClient(identity=identity, controllers=controllers)
         self._lifecycle = lifecycle
 
-    def submit(self, change: Change) -> Outcome:
+    def submit(self, change: Change, expires: float = NEVER) -> Outcome:
         """Return the outcome of a change; raises `ProposalUnknownError` after the timeout.
 
-        Raises `UnencodableError` for a change that no log can hold.
+        `expires` is the time at which the caller may turn elsewhere (boot time): the change does
+        not enter the log later. Raises `OrderExpiredError` if it has not been submitted by then,
+        and `UnencodableError` for a change that no log can hold.
         """
         check_encodable(change)
-        deadline = time.monotonic() + PROPOSAL_TIMEOUT_S
+        deadline = min(boot_time_s() + PROPOSAL_TIMEOUT_S, expires)
         while True:
             outcome = self._known_outcome(change.change_id)
             if outcome is not None:
                 return outcome
+            if boot_time_s() >= expires:
+                raise OrderExpiredError(error_texts.ORDER_EXPIRED)
             try:
-                return self._submit_once(change, deadline)
+                return self._submit_once(change, deadline, expires)
             except (NotLeaderError, StreamError):
-                if time.monotonic() >= deadline or self._lifecycle.stopped.is_set():
+                if boot_time_s() >= deadline or self._lifecycle.stopped.is_set():
                     raise _unknown_outcome_error() from None
             time.sleep(RETRY_DELAY_S)
 
     def submit_as_leader(self, change: Change) -> Outcome:
-        """Submit a forwarded change; raises `NotLeaderError` if this is not the leader."""
-        return self._submit_local(change, time.monotonic() + PROPOSAL_TIMEOUT_S)
+        """Submit a change of this controller; raises `NotLeaderError` if it is not the leader."""
+        return self._submit_local(change, boot_time_s() + PROPOSAL_TIMEOUT_S, NEVER)
+
+    def submit_forwarded(self, msg: ForwardChange) -> Outcome:
+        """Submit a forwarded change; raises `NotLeaderError` if this is not the leader meant."""
+        if msg.term not in (0, self._replica.term):
+            raise NotLeaderError(error_texts.NOT_LEADER)
+        expires = msg.expires_ms / MS_PER_S if msg.term else NEVER
+        return self._submit_local(msg.change, boot_time_s() + PROPOSAL_TIMEOUT_S, expires)
 
     def forward_announcement(self, msg: ForwardAnnouncement) -> None:
         """Forward an announcement to the leader; if it is lost, the agent sends another."""
@@ -131,15 +150,18 @@
         with self._replica.changed:
             return self._replica.machine.outcome_of(change_id)
 
-    def _submit_once(self, change: Change, deadline: float) -> Outcome:
+    def _submit_once(self, change: Change, deadline: float, expires: float) -> Outcome:
         if self._replica.role is Role.LEADER:
-            return self._submit_local(change, deadline)
+            return self._submit_local(change, deadline, expires)
         msg = ForwardChange(change=change)
+        bound = self._replica.leader_deadline(expires) if expires < NEVER else None
+        if bound is not None:
+            msg = attrs.evolve(msg, term=bound.term, expires_ms=bound.expires_ms)
         return self._changes.ask(self._replica.leader(), msg, ChangeReply).outcome
 
-    def _submit_local(self, change: Change, deadline: float) -> Outcome:
-        fut = self._replica.propose(change, time.monotonic())
-        outcome = await_commit(fut, max(0.0, deadline - time.monotonic()))
+    def _submit_local(self, change: Change, deadline: float, expires: float) -> Outcome:
+        fut = self._replica.propose(change, boot_time_s(), expires)
+        outcome = await_commit(fut, max(0.0, deadline - boot_time_s()))
         if outcome is None:
             raise _unknown_outcome_error()
         return outcome
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -10,8 +10,16 @@
   to the leader's commit index, and the entry at that index is of the leader's own term.
 - A leader that has not heard from a quorum for one election timeout steps down.
 
-The methods take the current time (monotonic seconds) and do not depend on a transport;
-`replication` calls them over streams, with one task per peer.
+The methods take the current time and do not depend on a transport; `replication` calls them over
+streams, with one task per peer. The time is `clocks.boot_time_s`: a leader that was suspended must
+not take its lease of leadership for fresh.
+
+A change may name the time after which it must not enter the log any more, because its caller has
+turned elsewhere by then. The leader checks that right before it appends the change. What it
+appends afterwards comes later in the log, and once it is deposed it commits nothing, so no change
+takes effect after one that its caller had acknowledged later. The other controllers convert the
+time to the leader's clock, whose time comes with each append request. It was read before it was
+sent, so the converted time is never later than the true one.
 """
 
 from __future__ import annotations
@@ -27,11 +35,20 @@
 from lentilcourse.codec import check_encodable
 from lentilcourse.controller.log_store import LogStore, Snapshot, Vote
 from lentilcourse.controller.machine import CatalogueMachine
-from lentilcourse.controller.progress import PeerProgress, PeerView, Proposal, Role
+from lentilcourse.controller.progress import (
+    NEVER,
+    LeaderClock,
+    LeaderDeadline,
+    PeerProgress,
+    PeerView,
+    Proposal,
+    Role,
+)
 from lentilcourse.controller.quorum import changed_membership, committed_index, quorum_size
 from lentilcourse.errors import (
     ChangeRefusedError,
     NotLeaderError,
+    OrderExpiredError,
     StorageError,
     WrongReplicaError,
 )
@@ -100,6 +117,7 @@
         self._granted_votes: set[str] = set()
         self._last_leader_contact = float("-inf")
         self._leader_quorum_age_s = 0.0
+        self._leader_clock: LeaderClock | None = None
         self._confirmed_at = float("-inf")
         self._leader_since = float("-inf")
         self._proposals: list[Proposal] = []
@@ -200,31 +218,38 @@
             self._store.append([LogEntry(index=1, term=0, membership=membership)])
             self.changed.notify_all()
 
-    def propose(self, change: Change, now: float) -> Future[Outcome | None]:
+    def propose(self, change: Change, now: float, expires: float = NEVER) -> Future[Outcome | None]:
         """Queue a change; the future completes when it is applied or fails when it is dropped.
 
-        Raises `UnencodableError` for a change that no log can hold.
+        A change that is not in the log at `expires` is dropped. Raises `UnencodableError` for a
+        change that no log can hold.
         """
         check_encodable(change)
-        return self._enqueue(Proposal(change=change, queued_at=now))
+        return self._enqueue(Proposal(change=change, queued_at=now, expires=expires))
 
-    def propose_membership(self, verb: str, member: Member, now: float) -> Future[Outcome | None]:
+    def propose_membership(
+        self, verb: str, member: Member, now: float, expires: float = NEVER
+    ) -> Future[Outcome | None]:
         """Queue a membership change of one member; raises `ChangeRefusedError` if it is unsafe."""
         with self.changed:
             self._require_leader()
             self._require_no_pending_membership_change()
             proposed = changed_membership(self._store.membership(), verb, member)
             self._require_safe_membership(verb, member, proposed, now)
-            proposal = Proposal(membership=proposed, queued_at=now)
+            proposal = Proposal(membership=proposed, queued_at=now, expires=expires)
         return self._enqueue(proposal)
 
     def write_proposals(self, now: float) -> None:
-        """Append queued proposals to the log with one sync; fail them if this is not the leader."""
+        """Append queued proposals to the log with one sync; fail them if this is not the leader.
+
+        The caller holds `changed` while it reads `now`, so that nothing else delays the append.
+        """
         with self.changed:
             batch = self._dequeue_proposals()
             if self.role is not Role.LEADER:
                 _fail_proposals(batch, NotLeaderError(error_texts.NOT_LEADER))
                 return
+            batch = _drop_expired(batch, now)
             entries = [
                 self._log_entry(proposal, offset) for offset, proposal in enumerate(batch, 1)
             ]
@@ -241,6 +266,17 @@
             self._advance_commit(now)
             self.changed.notify_all()
 
+    def leader_deadline(self, expires: float) -> LeaderDeadline | None:
+        """Return the time `expires` by the clock of the leader, None if its clock is not known.
+
+        Leaders of earlier builds do not tell their time.
+        """
+        with self.changed:
+            if self._leader_clock is None or self._leader_clock.term != self.term:
+                return None
+            lead_s = self._leader_clock.lead_s
+            return LeaderDeadline(term=self.term, expires_ms=int((expires + lead_s) * MS_PER_S))
+
     def wait_for_leadership_confirmation(self, since: float, timeout_s: float) -> bool:
         """Wait until a quorum has acknowledged this leader in requests sent at or after `since`.
 
@@ -306,6 +342,7 @@
             if not self._accept_leader(req.term, req.leader_id, now):
                 return self._append_reply(False, 0)
             self._leader_quorum_age_s = req.quorum_age_ms / MS_PER_S
+            self._leader_clock = _leader_clock(req, now)
             matches = self._store.term_at(req.previous_index) == req.previous_term
             if not matches and req.previous_index > self._store.snapshot.last_index:
                 hint = min(self._store.last_index, req.previous_index - 1)
@@ -608,6 +645,7 @@
             entries=entries,
             commit_index=self.commit_index,
             quorum_age_ms=int((now - self._quorum_contact(now)) * MS_PER_S),
+            clock_ms=int(now * MS_PER_S),
         )
 
     def _install_request(self, peer_id: str) -> InstallRequest:
@@ -732,6 +770,12 @@
             self._become_follower(now)
 
 
+def _leader_clock(req: AppendRequest, now: float) -> LeaderClock | None:
+    if not req.clock_ms:
+        return None
+    return LeaderClock(term=req.term, lead_s=req.clock_ms / MS_PER_S - now)
+
+
 def bounded_batch(entries: tuple[LogEntry, ...]) -> tuple[LogEntry, ...]:
     """Return the leading entries that fit one append request; at least one if there are any."""
     size = 0
@@ -742,6 +786,17 @@
     return entries
 
 
+def _drop_expired(batch: list[Proposal], now: float) -> list[Proposal]:
+    """Return the proposals that may still enter the log; the others fail."""
+    kept: list[Proposal] = []
+    for proposal in batch:
+        if now < proposal.expires:
+            kept.append(proposal)
+        else:
+            proposal.fut.set_exception(OrderExpiredError(error_texts.ORDER_EXPIRED))
+    return kept
+
+
 def _fail_proposals(batch: list[Proposal], exc: Exception) -> None:
     for proposal in batch:
         proposal.fut.set_exception(exc)
--- a/lentilcourse/controller/replication.py
+++ b/lentilcourse/controller/replication.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Mapping
 from functools import singledispatch
 from typing import Final
 
 from lentilcourse import error_texts
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.controller.replica import PeerRequest, Replica
 from lentilcourse.errors import ProtocolError, StorageError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
@@ -66,12 +66,12 @@
             self._lifecycle.keep_running(self._pool, loop, self._resign)
 
     def _resign(self) -> None:
-        self._replica.resign("a task of the replica has ended", time.monotonic())
+        self._replica.resign("a task of the replica has ended", boot_time_s())
 
     def _run_timer(self) -> None:
         while not self._lifecycle.stopped.wait(timeout=TICK_S):
             try:
-                self._replica.tick(time.monotonic())
+                self._replica.tick(boot_time_s())
             except StorageError as exc:
                 _log.error("vote_write_failed", error=str(exc))
             self._start_missing_peers()
@@ -79,7 +79,8 @@
     def _run_log(self) -> None:
         while not self._lifecycle.stopped.is_set():
             if self._replica.proposals_waiting.wait(timeout=TICK_S):
-                self._replica.write_proposals(time.monotonic())
+                with self._replica.changed:
+                    self._replica.write_proposals(boot_time_s())
 
     def _start_missing_peers(self) -> None:
         for member in self._replica.membership().members:
@@ -107,7 +108,7 @@
             address = member_address(member, self._controllers)
             stream = connect_stream(address, self._identity, CONNECT_TIMEOUT_S)
         except StreamError:
-            self._replica.on_peer_lost(member.replica_id, time.monotonic())
+            self._replica.on_peer_lost(member.replica_id, boot_time_s())
             return
         stream.set_timeout(RPC_TIMEOUT_S)
         try:
@@ -116,7 +117,7 @@
                     return
                 self._send_next_request(member.replica_id, stream)
         except StreamError:
-            self._replica.on_peer_lost(member.replica_id, time.monotonic())
+            self._replica.on_peer_lost(member.replica_id, boot_time_s())
         finally:
             stream.close()
 
@@ -124,16 +125,16 @@
         req = self._wait_for_request(peer_id)
         if req is None:
             return
-        sent = time.monotonic()
+        sent = boot_time_s()
         reply = stream.call(req)
         handle_reply(req, reply, self._replica, peer_id, sent)
 
     def _wait_for_request(self, peer_id: str) -> PeerRequest | None:
         with self._replica.changed:
-            req = self._replica.next_request(peer_id, time.monotonic())
+            req = self._replica.next_request(peer_id, boot_time_s())
             if req is None:
                 self._replica.changed.wait(timeout=self._replica.heartbeat_interval_s / 2)
-                req = self._replica.next_request(peer_id, time.monotonic())
+                req = self._replica.next_request(peer_id, boot_time_s())
             return req
 
 
@@ -154,7 +155,7 @@
 ) -> None:
     if not isinstance(reply, VoteReply):
         raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(reply).__name__))
-    replica.on_vote_reply(peer_id, req, reply, time.monotonic())
+    replica.on_vote_reply(peer_id, req, reply, boot_time_s())
 
 
 @handle_reply.register(AppendRequest)
@@ -168,4 +169,4 @@
 ) -> None:
     if not isinstance(reply, AppendReply):
         raise ProtocolError(error_texts.MESSAGE_UNEXPECTED.format(name=type(reply).__name__))
-    replica.on_append_reply(peer_id, req, reply, sent, time.monotonic())
+    replica.on_append_reply(peer_id, req, reply, sent, boot_time_s())
--- a/lentilcourse/controller/role.py
+++ b/lentilcourse/controller/role.py
@@ -5,7 +5,6 @@
 import contextlib
 import random
 import threading
-import time
 from collections.abc import Callable
 from functools import singledispatch
 from typing import Final, TypeAlias
@@ -27,7 +26,7 @@
 )
 from lentilcourse.admin import AdminServer
 from lentilcourse.catalogue import Catalogue
-from lentilcourse.clocks import MS_PER_S, wall_clock_ms
+from lentilcourse.clocks import MS_PER_S, boot_time_s, wall_clock_ms
 from lentilcourse.controller.directory_relay import DirectoryRelay
 from lentilcourse.controller.formation import (
     Formation,
@@ -67,6 +66,7 @@
     VoteRequest,
 )
 from lentilcourse.messages.operators import (
+    CALL_TIMEOUT_S,
     AuditReply,
     AuditRequest,
     BootstrapRequest,
@@ -102,6 +102,8 @@
 
 LEADER_CHECK_INTERVAL_S: Final = 0.1
 AUTH_FAILURE_AUDIT_INTERVAL_S: Final = 1.0
+ORDER_LIFE_S: Final = 0.9 * CALL_TIMEOUT_S
+"""Age at which an operator's order is refused, since its caller may have turned elsewhere."""
 OPERATOR_ACTIONS: Final = (PutEntry, DeleteEntry, SetDomain, DrainTarget)
 OPERATOR_MESSAGES: Final = (
     ProposeChange,
@@ -131,11 +133,20 @@
 
 @attrs.frozen(kw_only=True)
 class Caller:
-    """Authenticated sender of a request, as established by its stream's handshake."""
+    """Authenticated sender of a request, as established by its stream's handshake.
+
+    Attributes:
+        name: name that it proved.
+        kind: "process" or "operator".
+        remote: its address, IP:PORT.
+        orders_expire: time after which an operator may have sent this request to another
+            controller (boot time).
+    """
 
     name: str
     kind: str
     remote: str
+    orders_expire: float
 
 
 class Controller:
@@ -157,7 +168,7 @@
             snapshot_records=cfg.snapshot_records,
             group_commit=cfg.group_commit,
             rng=random.Random(),
-            now=time.monotonic(),
+            now=boot_time_s(),
         )
         self.driver = ReplicaDriver(
             replica=self.replica,
@@ -236,13 +247,20 @@
 
     def serve(self, stream: Stream) -> None:
         """Handle the requests of one stream until it closes."""
-        caller = Caller(name=stream.peer, kind=stream.kind, remote=stream.remote)
         while not self.lifecycle.stopped.is_set():
+            caller = Caller(
+                name=stream.peer,
+                kind=stream.kind,
+                remote=stream.remote,
+                orders_expire=stream.heard_after + ORDER_LIFE_S,
+            )
             msg = stream.receive()
             if isinstance(msg, Subscribe) and caller.kind == KIND_PROCESS:
                 self.subscriptions.serve(stream, msg)
                 return
-            stream.send(self._handle_message(msg, caller))
+            reply = self._handle_message(msg, caller)
+            stream.heard_after = boot_time_s()
+            stream.send(reply)
 
     def applied_catalogue(self) -> Catalogue:
         """Return the published catalogue that is committed and applied at this replica."""
@@ -252,7 +270,7 @@
     def handle_announcement(self, name: str, announcement: Announcement) -> None:
         """Renew a target's lease locally if this replica leads, else forward to the leader."""
         if self.replica.role is Role.LEADER:
-            self.leases.renew(name, announcement, time.monotonic())
+            self.leases.renew(name, announcement, boot_time_s())
             return
         self.proposer.forward_announcement(
             ForwardAnnouncement(name=name, announcement=announcement)
@@ -260,7 +278,7 @@
 
     def record_authentication_failure(self, remote: str, reason: str) -> None:
         """Record a peer that failed authentication in the audit trail, at most one per second."""
-        now = time.monotonic()
+        now = boot_time_s()
         if now - self._auth_failure_recorded_at < AUTH_FAILURE_AUDIT_INTERVAL_S:
             return
         self._auth_failure_recorded_at = now
@@ -288,7 +306,7 @@
         was_leader = False
         while not self.lifecycle.stopped.wait(timeout=LEADER_CHECK_INTERVAL_S):
             is_leader = self.replica.role is Role.LEADER
-            now = time.monotonic()
+            now = boot_time_s()
             if is_leader and not was_leader:
                 leader_since = now
                 self.leases.clear()
@@ -315,7 +333,7 @@
             with self.replica.changed:
                 state = self.replica.machine.state
             records, gone = self.directory.records(), self.directory.gone()
-            for action in self.registrations.due(state, records, gone, time.monotonic()):
+            for action in self.registrations.due(state, records, gone, boot_time_s()):
                 self._propose_unless_pending(action)
 
     def _propose_unless_pending(self, action: Action) -> None:
@@ -357,17 +375,17 @@
 
 @handle_request.register
 def _handle_vote(msg: VoteRequest, controller: Controller, caller: Caller) -> object:
-    return controller.replica.on_vote_request(msg, time.monotonic())
+    return controller.replica.on_vote_request(msg, boot_time_s())
 
 
 @handle_request.register
 def _handle_append(msg: AppendRequest, controller: Controller, caller: Caller) -> object:
-    return controller.replica.on_append_request(msg, time.monotonic())
+    return controller.replica.on_append_request(msg, boot_time_s())
 
 
 @handle_request.register
 def _handle_install(msg: InstallRequest, controller: Controller, caller: Caller) -> object:
-    return controller.replica.on_install_request(msg, time.monotonic())
+    return controller.replica.on_install_request(msg, boot_time_s())
 
 
 @handle_request.register
@@ -383,7 +401,7 @@
 
 @handle_request.register
 def _handle_join(msg: JoinRequest, controller: Controller, caller: Caller) -> object:
-    return _require_formation(controller).add_learner(msg.member, time.monotonic())
+    return _require_formation(controller).add_learner(msg.member, boot_time_s())
 
 
 def _require_formation(controller: Controller) -> Formation:
@@ -394,13 +412,13 @@
 
 @handle_request.register
 def _handle_agents(msg: AgentList, controller: Controller, caller: Caller) -> object:
-    controller.directory.offer(msg.notices, time.monotonic())
+    controller.directory.offer(msg.notices, boot_time_s())
     return Done()
 
 
 @handle_request.register
 def _handle_read_catalogue(msg: ReadCatalogue, controller: Controller, caller: Caller) -> object:
-    return CatalogueReply(catalogue=controller.reader.read_as_leader(time.monotonic()))
+    return CatalogueReply(catalogue=controller.reader.read_as_leader(boot_time_s()))
 
 
 @handle_request.register
@@ -417,12 +435,12 @@
         raise ChangeRefusedError(
             error_texts.MESSAGE_UNEXPECTED.format(name=type(msg.action).__name__)
         )
-    return ChangeReply(outcome=controller.proposer.submit(change))
+    return ChangeReply(outcome=controller.proposer.submit(change, caller.orders_expire))
 
 
 @handle_request.register
 def _handle_forward_change(msg: ForwardChange, controller: Controller, caller: Caller) -> object:
-    return ChangeReply(outcome=controller.proposer.submit_as_leader(msg.change))
+    return ChangeReply(outcome=controller.proposer.submit_forwarded(msg))
 
 
 @handle_request.register
@@ -430,7 +448,7 @@
     msg: ForwardAnnouncement, controller: Controller, caller: Caller
 ) -> object:
     if controller.replica.role is Role.LEADER:
-        controller.leases.renew(msg.name, msg.announcement, time.monotonic())
+        controller.leases.renew(msg.name, msg.announcement, boot_time_s())
     return Done()
 
 
@@ -455,7 +473,9 @@
 
 @handle_request.register
 def _handle_membership(msg: MembershipRequest, controller: Controller, caller: Caller) -> object:
-    fut = controller.replica.propose_membership(msg.verb, msg.member, time.monotonic())
+    fut = controller.replica.propose_membership(
+        msg.verb, msg.member, boot_time_s(), caller.orders_expire
+    )
     await_commit(fut)
     _log.info("membership_changed", verb=msg.verb, member=msg.member.name, operator=caller.name)
     return Done()
@@ -463,7 +483,7 @@
 
 @handle_request.register
 def _handle_status(msg: StatusRequest, controller: Controller, caller: Caller) -> object:
-    now = time.monotonic()
+    now = boot_time_s()
     replica = controller.replica
     with replica.changed:
         return StatusReply(
--- a/lentilcourse/controller/subscriptions.py
+++ b/lentilcourse/controller/subscriptions.py
@@ -7,12 +7,12 @@
 from __future__ import annotations
 
 import threading
-import time
 from collections.abc import Callable
 from typing import Final
 
 import attrs
 
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.controller.replica import Replica
 from lentilcourse.directory import AgentListRequest, AgentNotice, Directory
 from lentilcourse.errors import StreamError
@@ -34,7 +34,7 @@
 
 @attrs.frozen(kw_only=True)
 class ReceivedReport:
-    """A report and its arrival time (monotonic seconds)."""
+    """A report and its arrival time (boot time)."""
 
     report: Report
     received: float
@@ -70,9 +70,9 @@
         while not self._lifecycle.stopped.is_set():
             msg = stream.receive()
             if isinstance(msg, ReportMessage):
-                self._handle_report(stream.peer, msg, time.monotonic())
+                self._handle_report(stream.peer, msg, boot_time_s())
             elif isinstance(msg, AgentNotice):
-                self._on_notice(msg, time.monotonic())
+                self._on_notice(msg, boot_time_s())
             elif isinstance(msg, AgentListRequest):
                 subscriber.wants_agents = True
 
@@ -121,7 +121,7 @@
 
     def freshness_s(self, now: float) -> float:
         """Return how long ago a quorum last confirmed the state."""
-        return self.replica.freshness_s(now)
+        return self.replica.freshness_s(boot_time_s())
 
     def agents(self) -> Directory | None:
         """Return the directory of this controller."""
--- a/lentilcourse/error_texts.py
+++ b/lentilcourse/error_texts.py
@@ -54,6 +54,7 @@
 # Consensus.
 NOT_LEADER: Final = "this replica is not the leader"
 PROPOSAL_UNKNOWN: Final = "no outcome within {seconds} s; resend under the same change id"
+ORDER_EXPIRED: Final = "the order is too old to be executed; send it again"
 ALREADY_BOOTSTRAPPED: Final = "controller already holds data of replica {replica_id}"
 MEMBERSHIP_BUSY: Final = "another membership change is not committed yet"
 MEMBERSHIP_NO_CHANGE: Final = "membership already has that form"
--- a/lentilcourse/errors.py
+++ b/lentilcourse/errors.py
@@ -80,6 +80,10 @@
     """A request was meant for another data folder than the one at this address."""
 
 
+class OrderExpiredError(LentilcourseError):
+    """A change was dropped, not executed: its caller may have turned elsewhere by now."""
+
+
 class ProposalUnknownError(LentilcourseError):
     """A proposal was neither committed nor refused in time; its outcome is not known."""
 
--- a/lentilcourse/http_server.py
+++ b/lentilcourse/http_server.py
@@ -14,6 +14,7 @@
 import attrs
 import h11
 
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.errors import LentilcourseError
 from lentilcourse.messages.base import Header
 from lentilcourse.sockets import is_readable
@@ -39,12 +40,28 @@
 
 @attrs.frozen(kw_only=True)
 class HttpRequest:
-    """One request, read whole."""
+    """One request, read whole.
+
+    Attributes:
+        method: method.
+        target: path and query.
+        headers: header fields, names in lower case.
+        body: body.
+        sent_after: time at which no part of the request had arrived yet (boot time); the caller
+            may have left since if the process was frozen.
+        caller_left: returns whether the caller closes its side within a time in seconds.
+    """
 
     method: bytes
     target: bytes
     headers: tuple[Header, ...]
     body: bytes
+    sent_after: float = float("-inf")
+    caller_left: Callable[[float], bool] = lambda timeout_s: False
+
+    def age_s(self, now: float) -> float:
+        """Return the age that the request has at most at a boot time."""
+        return now - self.sent_after
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of the first header field with a lower-case name."""
@@ -54,8 +71,9 @@
 class HttpServerConnection:
     """Reads requests from, and writes answers to, one accepted socket."""
 
-    def __init__(self, *, sock: socket.socket) -> None:
+    def __init__(self, *, sock: socket.socket, opened_after: float = float("-inf")) -> None:
         self._sock = sock
+        self._empty_at = opened_after
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -65,6 +83,10 @@
         while keep_waiting() and time.monotonic() < deadline:
             if self._conn.trailing_data[0]:
                 return True
+            checked_at = boot_time_s()
+            if is_readable(self._sock, 0.0):
+                return True
+            self._empty_at = checked_at
             if is_readable(self._sock, IDLE_POLL_S):
                 return True
         return False
@@ -83,6 +105,8 @@
             target=bytes(head.target),
             headers=tuple(Header(name=name, value=value) for name, value in head.headers),
             body=body,
+            sent_after=self._empty_at,
+            caller_left=self.caller_left,
         )
 
     def send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
@@ -116,12 +140,12 @@
         """Return whether an answer may still be started."""
         return self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
-    def caller_left(self) -> bool:
-        """Return whether the caller has closed its side; never blocks.
+    def caller_left(self, timeout_s: float = 0.0) -> bool:
+        """Return whether the caller has closed its side, or does so within `timeout_s`.
 
         A socket with a timeout waits for it even when asked not to, so it is polled first.
         """
-        if not is_readable(self._sock, 0.0):
+        if not is_readable(self._sock, timeout_s):
             return False
         try:
             data = self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/lentilcourse/messages/consensus.py
+++ b/lentilcourse/messages/consensus.py
@@ -80,7 +80,8 @@
 class AppendRequest:
     """The leader replicates entries that follow `previous_index`.
 
-    `quorum_age_ms` is the time since a quorum last confirmed the leader.
+    `quorum_age_ms` is the time since a quorum last confirmed the leader. `clock_ms` is the leader's
+    boot time when it made the request; 0 from earlier builds.
     """
 
     term: int
@@ -91,6 +92,7 @@
     entries: tuple[LogEntry, ...]
     commit_index: int
     quorum_age_ms: int
+    clock_ms: int = 0
 
 
 @message
@@ -120,9 +122,15 @@
 @message
 @attrs.frozen(kw_only=True)
 class ForwardChange:
-    """A controller passes a change on to the leader."""
+    """A controller passes a change on to the leader.
+
+    The leader of `term` drops the change if it is not in the log at `expires_ms`, by its own boot
+    time; a term of 0 means no such bound.
+    """
 
     change: Change
+    term: int = 0
+    expires_ms: int = 0
 
 
 @message
--- a/lentilcourse/messages/operators.py
+++ b/lentilcourse/messages/operators.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 import attrs
 
 from lentilcourse.actions import Action
@@ -10,6 +12,9 @@
 from lentilcourse.messages.state import Report
 from lentilcourse.model import State
 
+CALL_TIMEOUT_S: Final = 5.0
+"""Time for which an operator's client waits for a controller before it asks another one."""
+
 
 @message
 @attrs.frozen(kw_only=True)
--- a/lentilcourse/operator_client.py
+++ b/lentilcourse/operator_client.py
@@ -22,6 +22,7 @@
 from lentilcourse.messages.base import Done, Failure
 from lentilcourse.messages.consensus import ChangeReply, Member, Membership
 from lentilcourse.messages.operators import (
+    CALL_TIMEOUT_S,
     AuditRecord,
     AuditReply,
     AuditRequest,
@@ -40,11 +41,10 @@
 
 R = TypeVar("R")
 
-CALL_TIMEOUT_S: Final = 5.0
 CHANGE_TIMEOUT_S: Final = 15.0
 RETRY_DELAY_S: Final = 0.2
 WAIT_POLL_S: Final = 0.1
-RETRIED_FAILURES: Final = frozenset({"NotLeaderError", "ProposalUnknownError"})
+RETRIED_FAILURES: Final = frozenset({"NotLeaderError", "OrderExpiredError", "ProposalUnknownError"})
 
 
 class NoControllerError(LentilcourseError):
@@ -52,10 +52,14 @@
 
 
 class OperatorClient:
-    """Calls controllers in the name of one operator."""
+    """Calls controllers in the name of one operator.
+
+    Attributes:
+        settings: settings of the operator.
+    """
 
     def __init__(self, *, settings: Settings) -> None:
-        self._settings = settings
+        self.settings = settings
         self._identity = Identity(
             name=settings.process.name, kind=KIND_OPERATOR, key=settings.operator_key
         )
@@ -63,7 +67,7 @@
     @property
     def controllers(self) -> dict[str, Address]:
         """Addresses of the controllers by name."""
-        return dict(self._settings.controllers)
+        return dict(self.settings.controllers)
 
     def change(self, action: Action, edit_version: int, change_id: str = "") -> Outcome:
         """Return the outcome of a change; raises `ProposalUnknownError` when it stays unknown."""
@@ -182,7 +186,7 @@
 
     def _none_answered(self, causes: list[str]) -> NoControllerError:
         text = error_texts.CLI_NO_CONTROLLER.format(
-            causes="; ".join(causes), file=self._settings.file
+            causes="; ".join(causes), file=self.settings.file
         )
         return NoControllerError(text)
 
--- a/lentilcourse/platform/target_calls.py
+++ b/lentilcourse/platform/target_calls.py
@@ -7,7 +7,7 @@
 from urllib.parse import unquote
 
 from lentilcourse.admin import AdminAnswer, AdminServer
-from lentilcourse.clocks import MS_PER_S
+from lentilcourse.clocks import MS_PER_S, boot_time_s
 from lentilcourse.http_server import HttpRequest
 from lentilcourse.logs import get_logger
 from lentilcourse.options import parse_address
@@ -66,7 +66,8 @@
 
     def delete_instance(self, req: HttpRequest) -> AdminAnswer:
         """DELETE /instances/ID: the server is gone."""
-        self._edge.leave(_target_id(req), time.monotonic())
+        now = time.monotonic()
+        self._edge.leave(_target_id(req), now - req.age_s(boot_time_s()), now)
         return ACKNOWLEDGED
 
 
--- a/lentilcourse/sockets.py
+++ b/lentilcourse/sockets.py
@@ -8,7 +8,9 @@
 from collections.abc import Iterator
 from typing import Final
 
-from lentilcourse.clocks import MS_PER_S
+import attrs
+
+from lentilcourse.clocks import MS_PER_S, boot_time_s
 from lentilcourse.options import Address
 
 SOCKET_POLL_S: Final = 0.25
@@ -27,20 +29,40 @@
     return bool(poll.poll(timeout_s * MS_PER_S))
 
 
-def accept_until(
-    listener: socket.socket, stop: threading.Event
-) -> Iterator[tuple[socket.socket, tuple[str, int]]]:
-    """Yield accepted connections and their remote addresses until `stop` is set.
+@attrs.frozen(kw_only=True)
+class Accepted:
+    """An accepted connection.
+
+    Attributes:
+        sock: its socket.
+        remote: address of the other end, IP:PORT.
+        opened_after: time at which the connection did not wait in the listener's queue yet (boot
+            time). A process that was frozen finds old connections there.
+    """
+
+    sock: socket.socket
+    remote: str
+    opened_after: float
+
+
+def accept_until(listener: socket.socket, stop: threading.Event) -> Iterator[Accepted]:
+    """Yield accepted connections until `stop` is set.
 
     The listener's timeout bounds the time in which the stop is noticed.
     """
+    empty_at = boot_time_s()
     while not stop.is_set():
+        checked_at = boot_time_s()
+        if not is_readable(listener, 0.0):
+            empty_at = checked_at
         try:
-            yield listener.accept()
+            sock, (host, port) = listener.accept()
         except TimeoutError:
             continue
         except OSError:
             stop.wait(timeout=ACCEPT_RETRY_S)
+            continue
+        yield Accepted(sock=sock, remote=f"{host}:{port}", opened_after=empty_at)
 
 
 def open_datagram_socket(address: Address) -> socket.socket:
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -50,8 +50,11 @@
     def announce(self, report: TargetReport, now: float) -> Verdict:
         """Handle an announcement of the target."""
 
-    def leave(self, target_id: str, now: float) -> None:
-        """Handle the target's notice of its departure."""
+    def leave(self, target_id: str, sent_after: float, now: float) -> bool:
+        """Handle the target's notice of its departure, sent after a time.
+
+        Returns whether the notice was for the current run of the target.
+        """
 
 
 TargetInterface: TypeAlias = Callable[[TargetEvents, AdminServer], None]
@@ -147,11 +150,12 @@
         self._report_target_state(now)
         return verdict
 
-    def leave(self, target_id: str, now: float) -> None:
-        """Handle the target's notice of its departure."""
-        left = self.watch.remove(target_id)
+    def leave(self, target_id: str, sent_after: float, now: float) -> bool:
+        """Handle the target's notice of its departure, sent after a time."""
+        left = self.watch.remove(target_id, sent_after)
         _log.info("target_left", target=target_id, current=left)
         self._report_target_state(now)
+        return left
 
     def _report_target_state(self, now: float) -> None:
         """Send a report to the controller immediately if the state of the target has changed."""
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -77,6 +77,7 @@
         self._address = address
         self._announcement_life_s = announcement_life_s
         self._announced_at = float("-inf")
+        self._run_known_since = float("-inf")
         self._cold_until = float("-inf")
         self._cold_until_announced = False
         self._departed_runs: set[tuple[str, int]] = set()
@@ -92,6 +93,7 @@
         same_run = current is not None and _run_key(current) == _run_key(report)
         if not same_run:
             self.run += 1
+            self._run_known_since = now
             self.seen_from_start = self.run > 1 or report.sequence <= FIRST_SEQUENCE
         self.report = report
         self._announced_at = now
@@ -99,11 +101,18 @@
         self._cold_until_announced = False
         return Verdict.RENEWED if same_run else Verdict.NEW_RUN
 
-    def remove(self, target_id: str) -> bool:
-        """Handle the departure of a target; returns whether it was the current one."""
+    def remove(self, target_id: str, sent_after: float = float("inf")) -> bool:
+        """Handle the departure of a target; returns whether it was the current one.
+
+        A target may start again under its ID. So a notice that may have been sent before the
+        current run was first announced, as one that a frozen agent reads late, is not taken for
+        this run if an earlier one was known.
+        """
         current = self.report
         if current is None or current.target_id != target_id:
             return False
+        if self.run > 1 and sent_after < self._run_known_since:
+            return False
         self._departed_runs.add(_run_key(current))
         self.report = None
         return True
--- a/lentilcourse/streams.py
+++ b/lentilcourse/streams.py
@@ -23,6 +23,7 @@
 import attrs
 
 from lentilcourse import error_texts
+from lentilcourse.clocks import boot_time_s
 from lentilcourse.codec import MAX_MESSAGE_BYTES, encode_message, new_unpacker, read_message
 from lentilcourse.errors import (
     AuthenticationError,
@@ -91,10 +92,13 @@
         peer: name that the other end proved.
         kind: "process" or "operator".
         remote: address of the other end.
+        heard_after: time after which the other end has sent what is received next (boot time): it
+            has answered something that was sent at that time.
     """
 
     def __init__(self, *, sock: socket.socket, remote: str) -> None:
         self.peer = remote
+        self.heard_after = boot_time_s()
         self.kind = KIND_PROCESS
         self.remote = remote
         self._sock = sock
@@ -433,8 +437,8 @@
 
     def run(self) -> None:
         """Accept until the process has stopped."""
-        for sock, peer in accept_until(self._socket, self._lifecycle.stopped):
-            self._start(sock, f"{peer[0]}:{peer[1]}")
+        for accepted in accept_until(self._socket, self._lifecycle.stopped):
+            self._start(accepted.sock, accepted.remote)
 
     def _start(self, sock: socket.socket, remote: str) -> None:
         try:
