--- a/lentilcourse/agent/peers.py
+++ b/lentilcourse/agent/peers.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import queue
 import threading
 import time
@@ -17,6 +16,7 @@
 
 from lentilcourse.errors import PoolFullError, StreamError
 from lentilcourse.kernel.lifecycle import Lifecycle
+from lentilcourse.logs import get_logger
 from lentilcourse.model import State, Target
 from lentilcourse.streams import Identity, connect_stream
 
@@ -25,6 +25,8 @@
 RECONNECT_DELAY_S: Final = 0.1
 QUEUE_POLL_S: Final = 0.25
 
+_log = get_logger(__name__)
+
 
 class AgentPeer:
     """Outgoing stream to one other agent.
@@ -78,8 +80,12 @@
     ) -> None:
         """Keep a stream open to the peer until `end` is called or the process stops."""
         while not self._stop.is_set() and not lifecycle.stopped.is_set():
-            with contextlib.suppress(StreamError):
+            try:
                 self._serve(identity, lifecycle, on_connected)
+            except StreamError:
+                pass
+            except Exception:
+                _log.exception("peer_failed", target=self.target.name)
             self.connected = False
             self._stop.wait(timeout=RECONNECT_DELAY_S)
 
