Hand an agent's flows over to the process that follows it

Cause, by the logs: an agent that starts beside a running target knows none of its flows. (1) What passed before the first announcement counted as of an earlier run of the target and was denied; once all agents had denied a flow it was reset. (2) An agent that was stopped again before its target had announced itself reported the target as gone, so that searches left it out. (3) For 60 s it could only ask its target by giving it a packet: after one round of restarts each search gave packets to many targets.

Change: a record of before the first announcement belongs to the run that announces itself; an agent says nothing of a target that it has not heard; a stopping agent leaves the list of its flows with three other agents, and its successor recalls it. All packets of a target pass its agent, so the list is complete, and a denial rests on knowledge. A search gives packets to unsure agents only if none has claimed the flow in the first round. A returned packet of a claimed flow starts a search at once.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -14,6 +14,15 @@
       | placement.shifted_callers_reach_other_domains   |
       | steering.reset_by_another_target_ends_no_flow   |
       | steering.nobody_holds_is_reset                  |
+      | handover.restarts_cost_no_flow                  |
+      | handover.first_announcement_ends_no_flow        |
+      | handover.dead_flows_are_reset                   |
+      | handover.list_is_given_once                     |
+      | handover.stopping_agent_takes_no_flow           |
+      | handover.stop_says_nothing_of_an_unheard_target |
+      | handover.datagrams_round_trip                   |
+      | handover.foreign_datagrams_are_refused          |
+      | handover.keepers_are_bounded                    |
       | steering.no_reset_while_an_agent_is_missing     |
       | steering.opening_copies_meet_one_target         |
       | steering.returned_opening_finds_a_target        |
--- a/features/properties/__init__.py
+++ b/features/properties/__init__.py
@@ -28,6 +28,7 @@
     "soak",
     "broken_input",
     "orders",
+    "handover",
 )
 
 
--- a/features/properties/steering_load.py
+++ b/features/properties/steering_load.py
@@ -16,6 +16,7 @@
 from xxhash import xxh3_64_intdigest
 
 from lentilcourse.platform.packets import FLAG_ACK, FLAG_RST, FLAG_SYN
+from lentilcourse.steering.handover import RESEND_INTERVAL_S
 from lentilcourse.steering.pacer import BITS_PER_BYTE, BITS_PER_MBIT, BURST_S, Pacer
 from properties import prop
 from properties.steering_world import SteeringWorld, caller, packet
@@ -87,6 +88,11 @@
         self._tick(0)
         self._check_health()
 
+    def play_recall(self, name):
+        """Let a started agent ask for the flows of its process before."""
+        if self.agents[name].recall_flows(self.now):
+            self.after(RESEND_INTERVAL_S, lambda: self.play_recall(name))
+
     def after(self, seconds, action):
         """Run an action later."""
         heapq.heappush(self._events, (self.now + seconds, next(self._order), action))
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -25,11 +25,14 @@
 )
 from lentilcourse.steering.admission import AgentLimits
 from lentilcourse.steering.agent_flows import AgentFlows, AgentOutputs
+from lentilcourse.steering.agent_role import HANDOVER_TIMEOUT_S
 from lentilcourse.steering.balancer_flows import BalancerFlows
 from lentilcourse.steering.datagrams import Kind, decode_kind, pack_address
+from lentilcourse.steering.handover import RESEND_INTERVAL_S
+from lentilcourse.steering.owner_searches import FIRST_ROUND_INTERVAL_S, ROUND_INTERVAL_S
 from lentilcourse.steering.peers import Peers
 from lentilcourse.steering.placement_policies import PLACEMENT_POLICIES
-from lentilcourse.steering.target_watch import TargetReport, TargetWatch
+from lentilcourse.steering.target_watch import TargetReport, TargetWatch, Verdict
 from lentilcourse.subscription import StateCopy
 
 HEAD = struct.Struct(">IIIB3xHI6s6s")
@@ -124,8 +127,8 @@
 
     # Processes.
 
-    def start_agent(self, name):
-        """Start an agent without records; its target announces itself."""
+    def start_agent(self, name, announced=True):
+        """Start an agent without records; its target announces itself, now or later."""
         self.watches[name] = TargetWatch(
             address=Address(host="10.0.0.9", port=2), announcement_life_s=1e9
         )
@@ -149,9 +152,12 @@
             state=lambda: self.state,
             limits=limits,
             outputs=outputs,
+            started_ms=int(self.now * 1000),
             now=self.now,
         )
-        self.announce(name)
+        if announced:
+            self.announce(name)
+        self.play_recall(name)
 
     def add_agent(self, name, service="board"):
         """Start an agent with a target; all processes get to know it."""
@@ -222,7 +228,10 @@
             draining=draining,
             cold_s=cold_s,
         )
-        return self.watches[name].record_announcement(report, self.now)
+        verdict = self.watches[name].record_announcement(report, self.now)
+        if verdict is Verdict.NEW_RUN:
+            self.agents[name].on_new_run()
+        return verdict
 
     def _new_peers(self, name):
         directory = self.directories[name] = Directory()
@@ -277,10 +286,53 @@
                 self.refresh_directory(name)
 
     def deliver_all(self):
-        """Deliver all datagrams in flight."""
-        while self.queue:
-            datagram, to = self.queue.popleft()
-            self._deliver(datagram, to)
+        """Deliver all datagrams in flight, and run the searches that wait for their round."""
+        while True:
+            while self.queue:
+                datagram, to = self.queue.popleft()
+                self._deliver(datagram, to)
+            waiting = [
+                agent
+                for name, agent in self.agents.items()
+                if name not in self.down and agent.wait_for_search(0.0)
+            ]
+            if not waiting:
+                return
+            self.now += FIRST_ROUND_INTERVAL_S
+            for agent in waiting:
+                agent.search_owners(self.now)
+
+    def play_round(self):
+        """Let the time of a round of searches pass, and each agent run its own."""
+        self.now += ROUND_INTERVAL_S + STEP_S
+        for name, agent in self.agents.items():
+            if name not in self.down:
+                agent.search_owners(self.now)
+        self.deliver_all()
+
+    def play_recall(self, name):
+        """Let a started agent ask for the flows of its process before, until it stops asking."""
+        while self.agents[name].recall_flows(self.now):
+            self.deliver_all()
+            self.now += RESEND_INTERVAL_S
+
+    def stop_agent(self, name):
+        """Stop an agent as planned: it hands its flows over, then it is down."""
+        self.agents[name].hand_over(int(self.now * 1000), self.now)
+        self.deliver_all()
+        deadline = self.now + HANDOVER_TIMEOUT_S
+        while not self.agents[name].continue_hand_over(self.now) and self.now < deadline:
+            self.now += RESEND_INTERVAL_S
+            self.deliver_all()
+        self.down.add(name)
+
+    def resume_agent(self, name, announced=True):
+        """Start the process that follows a stopped agent."""
+        self.now += 0.5
+        self.down.discard(name)
+        self.start_agent(name, announced)
+        for known in self.directories:
+            self.refresh_directory(known)
 
     def _deliver(self, datagram, to):
         self.now += self.delivery_s
--- a/lentilcourse/steering/admission.py
+++ b/lentilcourse/steering/admission.py
@@ -14,6 +14,7 @@
 class Decline(enum.Enum):
     """Reason for which an agent declines a new flow."""
 
+    STOPPING = "stopping"
     NO_TARGET = "no-target"
     DRAINING = "draining"
     NO_STATE = "no-state"
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -47,7 +47,9 @@
     service_key,
 )
 from lentilcourse.steering.denial_memory import DenialMemory
+from lentilcourse.steering.flow_lists import UNKNOWN_RUN, FlowList
 from lentilcourse.steering.flow_records import AgentFlowCounts, FlowRecord, FlowState, is_over
+from lentilcourse.steering.handover import Handover
 from lentilcourse.steering.load_meter import LoadMeter
 from lentilcourse.steering.opening_hops import Opening, next_when_busy, next_when_declined
 from lentilcourse.steering.owner_searches import OwnerSearches
@@ -67,6 +69,7 @@
 PLACED_KINDS: Final = OPENING_KINDS | {Kind.CARRY}
 """Datagrams whose balancer is sent load notices. Lookups reach agents that the balancer does not
 use otherwise."""
+HANDOVER_KINDS: Final = frozenset((Kind.KEEP, Kind.KEPT, Kind.RECALL, Kind.RECALLED))
 FIRST_REQUEST_S: Final = 0.05
 """Time within which a caller sends the first request on a flow that it has opened."""
 HOP_BITS: Final = 4
@@ -107,6 +110,7 @@
         state: Callable[[], State],
         limits: AgentLimits,
         outputs: AgentOutputs,
+        started_ms: int,
         now: float,
     ) -> None:
         self.counts = AgentFlowCounts()
@@ -134,6 +138,16 @@
             on_dead=self._reset_dead_flow,
             counts=self.counts,
         )
+        self._handover = Handover(
+            own_address=limits.own_address,
+            peers=peers,
+            to_peer=outputs.to_peer,
+            on_recalled=self._on_recalled,
+            started_ms=started_ms,
+            now=now,
+        )
+        self._recalled_from: bytes | None = None
+        self._stopping = False
         self._lock = threading.Lock()
 
     @property
@@ -153,6 +167,10 @@
             with self._lock:
                 self._searches.on_reply(decode_reply(datagram), now)
             return
+        if kind in HANDOVER_KINDS:
+            with self._lock:
+                self._handover.on_datagram(kind, datagram, now)
+            return
         envelope, raw = decode_envelope(datagram)
         least_busy = None
         if kind is Kind.PASSED:
@@ -180,7 +198,7 @@
         record = self._flows.get(packet.flow)
         if (
             record is not None
-            and record.target_run == self._watch.run
+            and self._watch.may_be_current(record.target_run)
             and self._watch.is_present(now)
         ):
             record.balancer = envelope.balancer
@@ -207,6 +225,8 @@
 
         The limit of a cold target is checked last, by `_admits_cold`, which counts the flow.
         """
+        if self._stopping:
+            return Decline.STOPPING
         report = self._watch.report
         if report is None or not self._watch.is_present(now):
             return Decline.NO_TARGET
@@ -362,27 +382,34 @@
     def _on_query(self, query: FlowQuery, now: float) -> None:
         with self._lock:
             answers = {flow: self._possession(flow, now) for flow in query.flows}
-            for flow, answer in answers.items():
-                if answer is Possession.UNSURE:
+            unsure = [flow for flow, answer in answers.items() if answer is Possession.UNSURE]
+            if self._handover.recalling(now):
+                answers = {flow: answers[flow] for flow in answers if flow not in unsure}
+            else:
+                for flow in unsure:
                     self._denials.note_question(flow, query.searcher, now)
-        self._reply(query.searcher, answers)
+        if answers:
+            self._reply(query.searcher, answers)
 
     def _reply(self, searcher: tuple[str, int], answers: dict[bytes, Possession]) -> None:
         reply = FlowReply(agent=self._limits.own_address, answers=answers)
         self._outputs.to_peer(encode_reply(reply), searcher)
 
     def _possession(self, flow: bytes, now: float) -> Possession:
-        """Return whether the target holds a flow."""
+        """Return whether the target holds a flow; a denial needs knowledge of all its flows."""
         record = self._flows.get(flow)
-        if record is not None and record.target_run == self._watch.run:
+        if record is not None and self._watch.may_be_current(record.target_run):
             return Possession.HOLDS if record.state is FlowState.HELD else Possession.UNSURE
-        if record is None and self._may_hold_unrecorded_flows(now):
+        if record is None and self.may_hold_unrecorded_flows(now):
             is_denied = self._denials.is_denied(flow, now)
             return Possession.DENIES if is_denied else Possession.UNSURE
         return Possession.DENIES
 
-    def _may_hold_unrecorded_flows(self, now: float) -> bool:
+    def may_hold_unrecorded_flows(self, now: float) -> bool:
         """Return whether the target may hold flows that were opened before this process started."""
+        recalled = self._handover.recalled
+        if recalled is not None and recalled.complete:
+            return False
         age_s = now - self._started_at
         if self._watch.run == 0:
             return age_s < FIRST_ANNOUNCEMENT_TIMEOUT_S
@@ -439,6 +466,7 @@
         newly_held = record.state is not FlowState.HELD or packet.accepting
         record.state = FlowState.HELD
         record.from_lookup = False
+        record.recalled = False
         record.target_run = self._watch.run
         record.last_packet_at = now
         if newly_held and record.balancer[1]:
@@ -478,9 +506,9 @@
             envelope = self._opening_envelope(record, hops)
             self._forward_opening(envelope, packet, Decline.TARGET_FULL)
             return
-        if kind in (Kind.SEEK, Kind.CARRY):
+        if kind in (Kind.SEEK, Kind.SEARCH, Kind.CARRY):
             self._deny(packet.flow, record.balancer, now)
-        if kind == Kind.CARRY:
+        if kind in (Kind.CARRY, Kind.SEARCH) or (kind == Kind.SEEK and record.recalled):
             sought = self._format.read_caller(self._format.stamped(packet, 0))
             self._searches.start(sought, record.balancer, now)
 
@@ -561,6 +589,58 @@
         with self._lock:
             self._searches.run_round(now)
 
+    # Handover to and from other processes of this agent.
+
+    def recall_flows(self, now: float) -> bool:
+        """Ask for the flows of the process before; returns whether to call again soon."""
+        with self._lock:
+            self._handover.continue_recall(now)
+            return self._handover.recalling(now)
+
+    def hand_over(self, stopped_ms: int, now: float) -> None:
+        """Take no more flows, and begin to hand those of the target over."""
+        with self._lock:
+            self._stopping = True
+            current = self._watch.may_be_current
+            flows = [flow for flow, each in self._flows.items() if current(each.target_run)]
+            own_list = FlowList(
+                owner=self._limits.own_address,
+                stopped_ms=stopped_ms,
+                target_run=self._known_run(),
+                complete=not self.may_hold_unrecorded_flows(now),
+                flows=tuple(flows),
+            )
+            self._handover.deliver(own_list, now)
+
+    def continue_hand_over(self, now: float) -> bool:
+        """Go on handing over; returns whether it is done."""
+        with self._lock:
+            return self._handover.continue_delivery(now)
+
+    def _known_run(self) -> bytes:
+        """Return the digest of the target's run, as far as this process or the one before knows."""
+        if self._watch.run == 0 and self._recalled_from is not None:
+            return self._recalled_from
+        return self._watch.run_digest
+
+    def on_new_run(self) -> None:
+        """Forget the recalled flows if the target has started again since."""
+        with self._lock:
+            if self._recalled_from in (None, UNKNOWN_RUN, self._watch.run_digest):
+                return
+            ended = [flow for flow, each in self._flows.items() if each.recalled]
+            for flow in ended:
+                del self._flows[flow]
+
+    def _on_recalled(self, recalled: FlowList, now: float) -> None:
+        self._recalled_from = recalled.target_run
+        if self._watch.run and recalled.target_run not in (UNKNOWN_RUN, self._watch.run_digest):
+            return
+        for flow in recalled.flows:
+            if flow not in self._flows:
+                record = self._create_record(flow, FlowState.HELD, ("", 0), now)
+                record.recalled = True
+
     def wait_for_search(self, timeout_s: float) -> bool:
         """Wait until a search waits for `search_owners`; returns whether one does."""
         return self._searches.waiting.wait(timeout=timeout_s)
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -7,6 +7,7 @@
 from typing import Final, Protocol, TypeAlias
 
 from lentilcourse.admin import AdminServer
+from lentilcourse.clocks import MS_PER_S, boot_time_s
 from lentilcourse.directory import (
     STATE_DRAINING,
     STATE_GONE,
@@ -22,7 +23,11 @@
 from lentilcourse.plugins import load_plugin
 from lentilcourse.roles import ROLE_PLUGINS, ProcessContext
 from lentilcourse.steering.admission import AgentLimits
-from lentilcourse.steering.agent_flows import AgentFlows, AgentOutputs
+from lentilcourse.steering.agent_flows import (
+    FIRST_ANNOUNCEMENT_TIMEOUT_S,
+    AgentFlows,
+    AgentOutputs,
+)
 from lentilcourse.steering.loops import DatagramLoop
 from lentilcourse.steering.membership import SystemView, create_system_view
 from lentilcourse.steering.owner_searches import FIRST_ROUND_INTERVAL_S
@@ -40,6 +45,10 @@
 a planned stop."""
 DEPARTURE_POLL_S: Final = 0.05
 SEARCH_POLL_S: Final = 1.0
+RECALL_POLL_S: Final = 0.01
+HANDOVER_POLL_S: Final = 0.002
+HANDOVER_TIMEOUT_S: Final = 0.3
+"""Longest time for which a stopping agent looks for agents that keep the list of its flows."""
 
 _log = get_logger(__name__)
 
@@ -99,16 +108,20 @@
                 caller_port=cfg.caller_port,
             ),
             outputs=AgentOutputs(to_peer=self.peer_loop.send, to_endpoint=self._target_loop.send),
+            started_ms=int(boot_time_s() * MS_PER_S),
             now=time.monotonic(),
         )
+        self._started_at = time.monotonic()
         self._domain_was_out = False
         self._reported_state = ""
         self.view.copy.listen(self._on_state)
+        context.lifecycle.on_drain(self._hand_over)
         context.lifecycle.on_drain(self._report_departure)
 
     def start(self) -> None:
         """Start the tasks of the agent."""
-        tasks = self._lifecycle.pool(name="steering", limit=4)
+        tasks = self._lifecycle.pool(name="steering", limit=5)
+        tasks.submit(self._recall_flows)
         for loop in (
             lambda: self.peer_loop.run(self.flows.on_peer),
             lambda: self._target_loop.run(self.flows.on_target),
@@ -137,6 +150,8 @@
     def announce(self, report: TargetReport, now: float) -> Verdict:
         """Handle an announcement of the target."""
         verdict = self.watch.record_announcement(report, now)
+        if verdict is Verdict.NEW_RUN:
+            self.flows.on_new_run()
         if verdict is not Verdict.RENEWED:
             _log.info(
                 "target_announced",
@@ -189,10 +204,29 @@
             time.sleep(DEPARTURE_POLL_S)
             self._report_target_state(time.monotonic())
 
+    def _recall_flows(self) -> None:
+        """Ask for the flows of the process before, until they are here or not to be had."""
+        while self.flows.recall_flows(time.monotonic()):
+            if self._lifecycle.stopping.wait(timeout=RECALL_POLL_S):
+                return
+
+    def _hand_over(self) -> None:
+        """Give the flows of the target to other agents, for the process that follows."""
+        if self.watch.has_left:
+            return
+        deadline = time.monotonic() + HANDOVER_TIMEOUT_S
+        while self.flows.recall_flows(time.monotonic()) and time.monotonic() < deadline:
+            time.sleep(RECALL_POLL_S)
+        self.flows.hand_over(int(boot_time_s() * MS_PER_S), time.monotonic())
+        while not self.flows.continue_hand_over(time.monotonic()):
+            if time.monotonic() >= deadline:
+                _log.info("flows_not_handed_over")
+                return
+            time.sleep(HANDOVER_POLL_S)
+
     def _target_state(self, now: float) -> str:
-        if not self.watch.is_present(now):
-            return STATE_GONE if self._lifecycle.stopping.is_set() else STATE_IDLE
-        return STATE_SERVING if self.watch.accepts_flows(now) else STATE_DRAINING
+        stopping = self._lifecycle.stopping.is_set()
+        return target_state(self.watch, now - self._started_at, stopping, now)
 
     def _on_state(self, state: State, now: float) -> None:
         is_out = state.domain_out(self._process.domain)
@@ -222,6 +256,18 @@
                 self.flows.search_owners(time.monotonic())
 
 
+def target_state(watch: TargetWatch, age_s: float, stopping: bool, now: float) -> str:
+    """Return the state that an agent reports, `age_s` after its start.
+
+    An agent that stops before its target has announced itself says nothing of the target: others
+    would take the agent's flows for dead.
+    """
+    if watch.is_present(now):
+        return STATE_SERVING if watch.accepts_flows(now) else STATE_DRAINING
+    unheard = watch.run == 0 and age_s < FIRST_ANNOUNCEMENT_TIMEOUT_S
+    return STATE_GONE if stopping and not unheard else STATE_IDLE
+
+
 @ROLE_PLUGINS.register("steering-agent")
 def start_steering_agent(context: ProcessContext) -> None:
     """Start the steering-agent role."""
--- a/lentilcourse/steering/datagrams.py
+++ b/lentilcourse/steering/datagrams.py
@@ -55,6 +55,8 @@
     QUERY: asks whether the receiver's target holds some flows (agent to agent).
     REPLY: answers a query (agent to agent).
     PASSED: opening packet that a busy agent passes on (agent to agent).
+    KEEP, KEPT: a stopping agent gives the list of its flows to another, which acknowledges it.
+    RECALL, RECALLED: an agent that has started asks for that list, and gets it.
 
     7 is not used again: earlier versions send it to all agents.
     """
@@ -69,6 +71,10 @@
     QUERY = 9
     REPLY = 10
     PASSED = 11
+    KEEP = 12
+    KEPT = 13
+    RECALL = 14
+    RECALLED = 15
 
 
 KINDS: Final = {kind.value: kind for kind in Kind}
--- a/lentilcourse/steering/flow_records.py
+++ b/lentilcourse/steering/flow_records.py
@@ -42,6 +42,7 @@
         caller_closed: whether the caller has closed its side.
         target_closed: whether the target has closed its side.
         from_lookup: whether an owner lookup created the record and its target has not answered.
+        recalled: whether the record comes from the process before, and its target has not answered.
     """
 
     state: FlowState
@@ -55,6 +56,7 @@
     caller_closed: bool = False
     target_closed: bool = False
     from_lookup: bool = False
+    recalled: bool = False
 
 
 @attrs.define(kw_only=True)
--- a/lentilcourse/steering/owner_searches.py
+++ b/lentilcourse/steering/owner_searches.py
@@ -5,6 +5,9 @@
 one datagram to each agent in an interval, however many flows are searched for: a search that many
 callers cause at once takes longer, but does not load the other agents more. A flow is dead once
 every agent that may hold it has denied it.
+
+An agent that does not know asks its target by giving it the packet. That is wrong wherever the flow
+is not held, so such agents get the packet only if none has claimed the flow in the first round.
 """
 
 from __future__ import annotations
@@ -56,7 +59,8 @@
         balancer: peer address of the balancer that is notified by the owner.
         started_at: time at which the search began.
         denied: addresses of the agents whose targets do not hold the flow.
-        tried: addresses of unsure agents that have been sent the packet.
+        unsure: addresses of agents that do not know whether their targets hold the flow.
+        tried: addresses of agents that have been sent the packet.
         asked: addresses of the first candidates; empty until they are asked.
     """
 
@@ -64,6 +68,7 @@
     balancer: tuple[str, int]
     started_at: float
     denied: set[tuple[str, int]] = attrs.field(factory=set)
+    unsure: set[tuple[str, int]] = attrs.field(factory=set)
     tried: set[tuple[str, int]] = attrs.field(factory=set)
     asked: frozenset[tuple[str, int]] = frozenset()
 
@@ -123,6 +128,9 @@
         self._expire(now)
         for search in list(self._pending.values()):
             self._end_if_dead(search)
+            if now - search.started_at >= FIRST_ROUND_INTERVAL_S:
+                for agent in search.unsure - search.denied:
+                    self._try_at(search, agent)
         if not self._pending:
             return
         full = now - self._full_round_at >= ROUND_INTERVAL_S
@@ -163,9 +171,10 @@
                 continue
             if answer is Possession.HOLDS:
                 del self._pending[flow]
-            if reply.agent not in search.tried:
-                search.tried.add(reply.agent)
-                self._send_packet(search, reply.agent)
+                self._try_at(search, reply.agent)
+            else:
+                search.unsure.add(reply.agent)
+                self.waiting.set()
 
     def _continue(self, search: Search, now: float) -> None:
         """Ask all agents once the first candidates have denied a flow, if a round is due."""
@@ -196,7 +205,11 @@
     def _holder_addresses(self, packet: FlowPacket) -> set[tuple[str, int]]:
         return {peer.address for peer in self._possible_holders(packet)}
 
-    def _send_packet(self, search: Search, agent: tuple[str, int]) -> None:
+    def _try_at(self, search: Search, agent: tuple[str, int]) -> None:
+        """Send the packet to an agent, unless it has had it."""
+        if agent in search.tried:
+            return
+        search.tried.add(agent)
         envelope = Envelope(kind=Kind.SEEK, hops=1, balancer=search.balancer)
         self._to_peer(encode_envelope(envelope, search.packet.raw), agent)
 
--- a/lentilcourse/steering/peers.py
+++ b/lentilcourse/steering/peers.py
@@ -54,12 +54,14 @@
         holders: agents whose targets may hold flows, by service key: all except agents that have
             never had a target.
         unassigned: holders that do not know the service of their target, as after a restart.
-        names: names of all agents in the directory.
+        known: all agents in the directory.
+        names: their names.
     """
 
     serving: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
     holders: dict[bytes, tuple[Peer, ...]] = attrs.field(factory=dict)
     unassigned: tuple[Peer, ...] = ()
+    known: tuple[Peer, ...] = ()
     names: frozenset[str] = frozenset()
 
     def holders_of(self, services: Iterable[bytes]) -> tuple[Peer, ...]:
@@ -99,8 +101,10 @@
         serving: dict[bytes, list[Peer]] = {}
         holders: dict[bytes, list[Peer]] = {}
         unassigned: list[Peer] = []
+        known: list[Peer] = []
         for record in records:
             peer, service = _peer(record), service_key(record.service)
+            known.append(peer)
             if record.state == STATE_SERVING and not state.domain_out(record.domain):
                 serving.setdefault(service, []).append(peer)
             if record.state == STATE_IDLE and record.name not in state.agents:
@@ -113,6 +117,7 @@
             serving={key: tuple(peers) for key, peers in serving.items()},
             holders={key: tuple(peers) for key, peers in holders.items()},
             unassigned=tuple(unassigned),
+            known=tuple(known),
             names=frozenset(record.name for record in records),
         )
 
--- a/lentilcourse/steering/target_watch.py
+++ b/lentilcourse/steering/target_watch.py
@@ -16,6 +16,7 @@
 
 from lentilcourse.clocks import MS_PER_S
 from lentilcourse.options import Address
+from lentilcourse.steering.flow_lists import UNKNOWN_RUN, run_digest
 
 COLD_WINDOW_S: Final = 1.0
 FIRST_SEQUENCE: Final = 1
@@ -101,6 +102,14 @@
         self._cold_until_announced = False
         return Verdict.RENEWED if same_run else Verdict.NEW_RUN
 
+    def may_be_current(self, run: int) -> bool:
+        """Return whether something observed in a run may belong to the current one.
+
+        What was observed before the first announcement belongs to the run that then announced
+        itself, unless the target has started again in that short time.
+        """
+        return run == self.run or (run == 0 and self.run == 1)
+
     def remove(self, target_id: str, sent_after: float = float("inf")) -> bool:
         """Handle the departure of a target; returns whether it was the current one.
 
@@ -117,6 +126,13 @@
         self.report = None
         return True
 
+    @property
+    def run_digest(self) -> bytes:
+        """Identifies the current run to other processes; zeros while none is known."""
+        if self.report is None:
+            return UNKNOWN_RUN
+        return run_digest(self.report.target_id, self.report.born_ms)
+
     @property
     def has_left(self) -> bool:
         """Whether the last target has departed as planned, with all its flows."""
