Use the newest list of flows; bound lists and forget them sooner

Cause, by reading the change once more: the first list that came back whole was used, though a keeper that an earlier recall had missed might still give an older one, whose flows are not all; an agent whose target had left did not pass on what it kept for others; 64 lists of 255 parts could fill the memory of an agent.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -18,6 +18,7 @@
       | handover.first_announcement_ends_no_flow        |
       | handover.dead_flows_are_reset                   |
       | handover.list_is_given_once                     |
+      | handover.newest_list_is_used                    |
       | handover.stopping_agent_takes_no_flow           |
       | handover.stop_says_nothing_of_an_unheard_target |
       | handover.datagrams_round_trip                   |
--- a/features/properties/handover.py
+++ b/features/properties/handover.py
@@ -18,6 +18,7 @@
 from lentilcourse.steering.datagrams import Kind
 from lentilcourse.steering.flow_lists import (
     FLOWS_PER_PART,
+    MAX_PARTS,
     FlowList,
     ListRecall,
     PartKept,
@@ -164,7 +165,7 @@
     st.integers(0, 2**64 - 1),
     st.binary(min_size=8, max_size=8),
     st.booleans(),
-    st.integers(0, 3 * FLOWS_PER_PART),
+    st.integers(0, MAX_PARTS * FLOWS_PER_PART),
 )
 def check_datagrams(owner, sender, stopped_ms, run, complete, count):
     """Lists come back whole from their parts; recalls and acknowledgements come back equal."""
@@ -246,3 +247,27 @@
     ):
         assert target_state(watch, age_s, False, at) == running
         assert target_state(watch, age_s, True, at) == stopping
+
+
+@prop("handover.newest_list_is_used")
+@given(st.integers(0, 1000), st.booleans())
+def check_newest(seed, older_first):
+    """Of two lists that keepers give back, the one of the process right before is used."""
+    world, holders = opened_world(6, seed)
+    name = holders[0].agent
+    world.stop_agent(name)
+    old_keepers = [(each, agent._handover._keeper._lists) for each, agent in world.agents.items()]
+    owner = world.records[name].address.pair()
+    kept = {each: lists[owner] for each, lists in old_keepers if owner in lists}
+    world.resume_agent(name)
+    late = world.open_flow(100)
+    world.stop_agent(name)
+    for each, old in kept.items():
+        old.taken_by_ms = 0
+        if older_first:
+            world.agents[each]._handover._keeper._lists[owner] = old
+            break
+    world.resume_agent(name)
+    if late.agent == name:
+        check_flows(world, {100: late}, "b2")
+    check_flows(world, holders, "b2")
--- a/features/properties/steering_world.py
+++ b/features/properties/steering_world.py
@@ -230,7 +230,7 @@
         )
         verdict = self.watches[name].record_announcement(report, self.now)
         if verdict is Verdict.NEW_RUN:
-            self.agents[name].on_new_run()
+            self.agents[name].on_new_run(self.now)
         return verdict
 
     def _new_peers(self, name):
--- a/lentilcourse/error_texts.py
+++ b/lentilcourse/error_texts.py
@@ -72,6 +72,7 @@
 PACKET_PROTOCOL: Final = "unsupported protocol {protocol}"
 PACKET_FLAGS: Final = "unknown flags in {flags:#x}"
 PACKET_ANSWER: Final = "unknown answer in a reply"
+PACKET_PART: Final = "part {part} of {parts} does not exist"
 PACKET_FRAGMENT: Final = "fragments are not carried"
 
 # Refusals.
--- a/lentilcourse/steering/agent_flows.py
+++ b/lentilcourse/steering/agent_flows.py
@@ -623,14 +623,14 @@
             return self._recalled_from
         return self._watch.run_digest
 
-    def on_new_run(self) -> None:
+    def on_new_run(self, now: float) -> None:
         """Forget the recalled flows if the target has started again since."""
         with self._lock:
             if self._recalled_from in (None, UNKNOWN_RUN, self._watch.run_digest):
                 return
             ended = [flow for flow, each in self._flows.items() if each.recalled]
             for flow in ended:
-                del self._flows[flow]
+                self._remove_record(flow, now)
 
     def _on_recalled(self, recalled: FlowList, now: float) -> None:
         self._recalled_from = recalled.target_run
--- a/lentilcourse/steering/agent_role.py
+++ b/lentilcourse/steering/agent_role.py
@@ -151,7 +151,7 @@
         """Handle an announcement of the target."""
         verdict = self.watch.record_announcement(report, now)
         if verdict is Verdict.NEW_RUN:
-            self.flows.on_new_run()
+            self.flows.on_new_run(now)
         if verdict is not Verdict.RENEWED:
             _log.info(
                 "target_announced",
@@ -211,9 +211,7 @@
                 return
 
     def _hand_over(self) -> None:
-        """Give the flows of the target to other agents, for the process that follows."""
-        if self.watch.has_left:
-            return
+        """Give the flows of the target, and lists kept for others, to other agents."""
         deadline = time.monotonic() + HANDOVER_TIMEOUT_S
         while self.flows.recall_flows(time.monotonic()) and time.monotonic() < deadline:
             time.sleep(RECALL_POLL_S)
--- a/lentilcourse/steering/flow_lists.py
+++ b/lentilcourse/steering/flow_lists.py
@@ -19,7 +19,8 @@
 KEPT: Final = struct.Struct(">B4sHQB4sH")
 RECALL: Final = struct.Struct(">B4sHQ")
 FLOWS_PER_PART: Final = 90
-MAX_PARTS: Final = 255
+MAX_PARTS: Final = 32
+"""Parts of a list: more flows than a target of today's deployments holds."""
 
 
 @attrs.frozen(kw_only=True)
@@ -131,6 +132,8 @@
         raise PacketError(error_texts.PACKET_SHORT.format(size=len(datagram)))
     fields = LIST_HEADER.unpack_from(datagram)
     _, host, port, sender_host, sender_port, stopped_ms, run, complete, part, parts = fields
+    if parts > MAX_PARTS or part >= max(parts, 1):
+        raise PacketError(error_texts.PACKET_PART.format(part=part, parts=parts))
     flows = tuple(body[at : at + FLOW_BYTES] for at in range(0, len(body), FLOW_BYTES))
     content = FlowList(
         owner=(unpack_host(host), port),
--- a/lentilcourse/steering/handover.py
+++ b/lentilcourse/steering/handover.py
@@ -42,7 +42,7 @@
 )
 from lentilcourse.steering.peers import Peers, hash_key
 
-Address = tuple[str, int]
+PeerAddress = tuple[str, int]
 
 KEEPERS: Final = 3
 """Agents that keep a list: they may be restarted in the same round."""
@@ -55,8 +55,9 @@
 """Time after the first recall after which no list is expected any more."""
 START_TIMEOUT_S: Final = 2.5
 """Time after the start of the process after which it recalls nothing any more."""
-KEEP_LIFE_S: Final = 20.0
-"""Time for which a list is kept: longer than a planned restart, shorter than flows live."""
+KEEP_LIFE_S: Final = 10.0
+"""Time for which a list is kept: longer than a planned restart. A keeper that no recall reaches
+might otherwise give its list to a later process."""
 MAX_KEPT_LISTS: Final = 64
 
 _log = get_logger(__name__)
@@ -94,7 +95,7 @@
     """Lists that this agent keeps for others."""
 
     def __init__(self) -> None:
-        self._lists: dict[Address, KeptList] = {}
+        self._lists: dict[PeerAddress, KeptList] = {}
 
     def keep(self, part: ListPart, now: float) -> bool:
         """Keep a part; returns whether it is kept, so that the sender need not look further."""
@@ -141,8 +142,8 @@
     """A list on its way to keepers: what each of them has not acknowledged yet."""
 
     parts: list[ListPart]
-    candidates: list[Address]
-    missing: dict[Address, set[int]] = attrs.field(factory=dict)
+    candidates: list[PeerAddress]
+    missing: dict[PeerAddress, set[int]] = attrs.field(factory=dict)
 
     def done(self) -> bool:
         """Return whether enough keepers have the whole list, or all there are."""
@@ -166,7 +167,7 @@
     def __init__(
         self,
         *,
-        own_address: Address,
+        own_address: PeerAddress,
         peers: Peers,
         to_peer: Send,
         on_recalled: Callable[[FlowList, float], None],
@@ -183,9 +184,9 @@
         self._keeper = FlowListKeeper()
         self._recall_ends = now + START_TIMEOUT_S
         self._recall_sent_at = float("-inf")
-        self._unanswered: set[Address] | None = None
+        self._unanswered: set[PeerAddress] | None = None
         self._arriving: dict[int, KeptList] = {}
-        self._deliveries: dict[tuple[Address, int], _Delivery] = {}
+        self._deliveries: dict[tuple[PeerAddress, int], _Delivery] = {}
         self._sent_at = float("-inf")
         self._stopping = False
 
@@ -199,6 +200,8 @@
 
     def continue_recall(self, now: float) -> None:
         """Ask the keepers that have not answered, if it is time to."""
+        if self.recalling(now):
+            self._finish_recall(now)
         if not self.recalling(now) or now - self._recall_sent_at < RESEND_INTERVAL_S:
             return
         if self._unanswered is None:
@@ -218,20 +221,25 @@
         content = part.content
         if content.owner != self._own_address or not self.recalling(now):
             return
-        if not part.parts:
-            if self._unanswered:
-                self._unanswered.discard(part.sender)
+        arriving = self._arriving.get(content.stopped_ms)
+        if part.parts and arriving is None:
+            arriving = KeptList(stopped_ms=content.stopped_ms, parts=part.parts, kept_at=now)
+            self._arriving[content.stopped_ms] = arriving
+        if arriving is not None and part.parts:
+            arriving.received[part.part] = part
+        if self._unanswered is not None and (arriving is None or arriving.whole):
+            self._unanswered.discard(part.sender)
+        self._finish_recall(now)
+
+    def _finish_recall(self, now: float) -> None:
+        """Use the newest list once all keepers have answered, or had the time to."""
+        whole = [each for each in self._arriving.values() if each.whole]
+        if not whole:
             return
-        arriving = self._arriving.setdefault(
-            content.stopped_ms,
-            KeptList(stopped_ms=content.stopped_ms, parts=part.parts, kept_at=now),
-        )
-        arriving.received[part.part] = part
-        if arriving.whole:
-            self._finish_recall(arriving, now)
-
-    def _finish_recall(self, arrived: KeptList, now: float) -> None:
-        parts = arrived.in_order()
+        newest = max(whole, key=lambda each: each.stopped_ms)
+        if self._unanswered and now - newest.kept_at < RESEND_INTERVAL_S:
+            return
+        parts = newest.in_order()
         flows = tuple(flow for part in parts for flow in part.content.flows)
         self.recalled = attrs.evolve(parts[0].content, flows=flows)
         _log.info(
@@ -323,7 +331,7 @@
                     if part.part in missing:
                         self._to_peer(encode_part(Kind.KEEP, part), address)
 
-    def _keepers_of(self, owner: Address) -> list[Address]:
+    def _keepers_of(self, owner: PeerAddress) -> list[PeerAddress]:
         """Return the agents that may keep the list of an owner, in order."""
         excluded = (owner, self._own_address)
         peers = [peer for peer in self._peers.table().known if peer.address not in excluded]
