Check that no target is asked while a flow's agent is down

Cause: handover.restarts_cost_no_flow passed with the recalled list switched off, since the flow's owner claimed it in every search of the test.

Change: the test also sends packets while the owner's agent is stopped; no other target may get one. No product code.

--- a/features/properties/handover.py
+++ b/features/properties/handover.py
@@ -57,6 +57,18 @@
     assert not any(target.misdelivered for target in world.targets.values())
 
 
+def check_unreachable(world, holders, stopped):
+    """Packets of flows whose agents are stopped reach no other target, and cause no reset."""
+    world.resets()
+    world.start_balancer("b1")
+    for number, holder in holders.items():
+        if holder.agent in stopped:
+            world.send_data(number, "b1")
+            world.play_round()
+    assert world.resets() == []
+    assert not any(target.misdelivered for target in world.targets.values())
+
+
 @prop("handover.restarts_cost_no_flow")
 @settings(max_examples=60)
 @given(st.integers(0, 1000), st.integers(1, 3))
@@ -75,6 +87,7 @@
             group = names[start : start + overlap]
             for name in group:
                 world.stop_agent(name)
+            check_unreachable(world, holders, group)
             for name in group:
                 world.resume_agent(name, announced=rng.random() < 0.5)
             world.start_balancer(f"b{rng.randint(1, 2)}")
