Take a writer for stuck only if it takes no proposal

Cause, by reading the change once more: a leader resigned when its oldest proposal had waited for an election timeout. With group commit switched off it writes one change at a time, and a long queue is no sign of a writer that has ended.

Change: the time counts from the last proposal that the writer took.

Measured: consensus.long_queue_is_no_stuck_writer fails before and passes now; consensus.leader_that_cannot_write_resigns passes.

--- a/features/control.feature
+++ b/features/control.feature
@@ -33,6 +33,7 @@
       | codec.conversions_are_refused         |
       | consensus.unencodable_change_stops_nothing |
       | consensus.leader_that_cannot_write_resigns |
+      | consensus.long_queue_is_no_stuck_writer    |
       | consensus.failing_rule_refuses_its_change  |
       | tasks.guarded_loop_is_started_again   |
       | tasks.loop_that_keeps_failing_ends_the_process |
--- a/features/properties/broken_input.py
+++ b/features/properties/broken_input.py
@@ -216,6 +216,26 @@
     machine.teardown()
 
 
+@prop("consensus.long_queue_is_no_stuck_writer")
+def check_long_queue():
+    """A leader that writes one change at a time goes on leading while its queue is long."""
+    machine = group()
+    leader = machine.replicas["a"]
+    leader._group_commit = False
+    futures = [
+        leader.propose(change(f"queued-{number}", catalogue(number, "s")), machine.now)
+        for number in range(1, 12)
+    ]
+    for _ in range(8):
+        machine.now += TIMEOUT_S / 4
+        leader.write_proposals(machine.now)
+        machine.settle(None)
+        leader.tick(machine.now)
+        assert leader.role is Role.LEADER
+    assert futures[0].result(timeout=1.0).verdict is Verdict.ACCEPTED
+    machine.teardown()
+
+
 @prop("consensus.failing_rule_refuses_its_change")
 def check_rule():
     """A committed change that makes its rule fail is refused, and what follows is applied."""
--- a/lentilcourse/controller/replica.py
+++ b/lentilcourse/controller/replica.py
@@ -123,6 +123,7 @@
         self._proposals: list[Proposal] = []
         self._proposals_lock = threading.Lock()
         self.proposals_waiting = threading.Event()
+        self._taken_at = float("-inf")
         self._pending_results: dict[int, tuple[int, Future[Outcome | None]]] = {}
         self.commit_index = store.snapshot.last_index
         self._applied_index = store.snapshot.last_index
@@ -199,11 +200,12 @@
             self._become_follower(now)
 
     def _writer_is_stuck(self, now: float) -> bool:
-        """Return whether the oldest proposal has waited in the queue for an election timeout."""
+        """Return whether proposals wait and none was taken for an election timeout."""
         with self._proposals_lock:
             if not self._proposals:
                 return False
-            return now - self._proposals[0].queued_at > self._election_timeout_s
+            waits_since = max(self._proposals[0].queued_at, self._taken_at)
+        return now - waits_since > self._election_timeout_s
 
     # Bootstrap and proposals.
 
@@ -246,6 +248,7 @@
         """
         with self.changed:
             batch = self._dequeue_proposals()
+            self._taken_at = now
             if self.role is not Role.LEADER:
                 _fail_proposals(batch, NotLeaderError(error_texts.NOT_LEADER))
                 return
