--- a/review/platform_world.py
+++ b/review/platform_world.py
@@ -247,6 +247,7 @@
         self.world, self.agent, self.service, self.server_id = world, agent, service, server_id
         self.ran: list[tuple[str, str, float]] = []
         self.taken: list[tuple[tuple[bytes, int, bytes, int], int, float]] = []
+        self.arrivals: list[tuple[tuple[bytes, int, bytes, int], float]] = []
         self.cold_until = time.monotonic() + cold_s
         self.draining = False
         self.born_ms = time.time_ns() // 1_000_000
@@ -317,6 +318,8 @@
             return
         key = (*packet.sender, *packet.receiver)
         flow = self._flows.get(key)
+        if not packet.flags & SYN:
+            self.arrivals.append((key, time.monotonic()))
         if packet.flags & SYN:
             self._on_syn(packet, key, flow)
         elif flow is not None:
