--- a/review/platform_world.py
+++ b/review/platform_world.py
@@ -143,7 +143,9 @@
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env["LENTILCOURSE_SETTINGS"] = str(settings)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        with (self.folder / "log").open("ab") as log:
+        with self.world.starting, (self.folder / "log").open("ab") as log:
+            if self.world.over.is_set():
+                return
             self._process = subprocess.Popen(
                 deploy["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
             )
@@ -504,7 +506,7 @@
     def send(self, raw: bytes) -> None:
         """Send a packet through the routers."""
         balancer = self.world.routers.choose(raw)
-        if balancer is not None:
+        if balancer is not None and not self.world.over.is_set():
             self._sock.sendto(raw, (balancer.ip, DATAGRAM_PORT))
 
     def _receive(self) -> None:
@@ -556,6 +558,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="lentilcourse-review-"))
         self.deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.over = threading.Event()
+        self.starting = threading.Lock()
         self._threads: list[threading.Thread] = []
         self.prefix = free_prefix()
         self.controllers: list[Program] = []
@@ -578,7 +581,8 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
-        self.over.set()
+        with self.starting:
+            self.over.set()
         for each in (*self.controllers, *self.balancers, *self.agents):
             each.end()
         for thread in self._threads:
@@ -721,7 +725,11 @@
 
 
 def run_case(play: Callable[[], str]) -> None:
-    """Play a case and exit: 1 if it returns what was broken, 0 if nothing, 2 if it can't run."""
+    """Play a case and exit: 1 if it returns what was broken, 0 if nothing, 2 if it can't run.
+
+    A case that is stopped early ends its processes, too.
+    """
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = play()
     except CannotRunError as exc:
