Review stand-ins: a stop of a script leaves nothing running

Cause: a stopped script gets SIGTERM twice, directly and through its process group, and the second one broke off the clean-up.

--- a/review/platform_world.py
+++ b/review/platform_world.py
@@ -53,6 +53,38 @@
 }
 
 
+class EarlyStop:
+    """Ends a case on SIGTERM: once, and not while its main thread starts a process."""
+
+    def __init__(self) -> None:
+        self.asked = False
+        self._held = False
+
+    def install(self) -> None:
+        """Handle SIGTERM from now on."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+
+    def __enter__(self) -> None:
+        if threading.current_thread() is threading.main_thread():
+            self._held = True
+
+    def __exit__(self, *exc_info: object) -> None:
+        if threading.current_thread() is threading.main_thread():
+            self._held = False
+            if self.asked:
+                sys.exit(2)
+
+    def _on_signal(self, number: int, frame: object) -> None:
+        """Ignore further signals: `timeout` sends one to the case and one to its group."""
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        self.asked = True
+        if not self._held:
+            sys.exit(2)
+
+
+EARLY_STOP = EarlyStop()
+
+
 class CannotRunError(Exception):
     """The deployment did not come to serve, so the case says nothing."""
 
@@ -143,7 +175,7 @@
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env["LENTILCOURSE_SETTINGS"] = str(settings)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
-        with self.world.starting, (self.folder / "log").open("ab") as log:
+        with EARLY_STOP, self.world.starting, (self.folder / "log").open("ab") as log:
             if self.world.over.is_set():
                 return
             self._process = subprocess.Popen(
@@ -729,7 +761,7 @@
 
     A case that is stopped early ends its processes, too.
     """
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    EARLY_STOP.install()
     try:
         broken = play()
     except CannotRunError as exc:
